--- /dev/null
+++ b/internal/model/job.go
@@ -0,0 +1,155 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// JobKey identifies a job by its team and by the request id that the caller chose.
+type JobKey struct {
+	Team string `json:"team"`
+	ID   string `json:"id"`
+}
+
+// String returns team/id.
+func (k JobKey) String() string { return k.Team + "/" + k.ID }
+
+// Less orders keys by team, then by id.
+func (k JobKey) Less(o JobKey) bool {
+	if k.Team != o.Team {
+		return k.Team < o.Team
+	}
+	return k.ID < o.ID
+}
+
+// JobSpec is what a caller submits.
+type JobSpec struct {
+	Key     JobKey `json:"key"`
+	Kind    string `json:"kind"`
+	Service string `json:"service,omitempty"` // for slot shapes: the service of the executors
+	Shape   Shape  `json:"shape"`
+	// Idempotent work may be started again after a loss. Other work starts at most once.
+	Idempotent bool `json:"idempotent"`
+	// Preemptible work can be checkpointed and stopped when its capacity is claimed back.
+	Preemptible bool            `json:"preemptible"`
+	RunTime     time.Duration   `json:"run_time,omitempty"` // as declared by the caller, nanoseconds
+	Payload     json.RawMessage `json:"payload,omitempty"`
+	// Deadline is the last moment at which the job may start. Zero means none.
+	Deadline time.Time `json:"deadline,omitzero"`
+}
+
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,127}$`)
+
+// ValidName reports whether s can be a team, request, kind or service name.
+func ValidName(s string) bool { return namePattern.MatchString(s) }
+
+// MaxRunTime bounds the declared run time of a job.
+const MaxRunTime = 90 * 24 * time.Hour
+
+// Validate reports the first reason for which the spec is malformed.
+func (s JobSpec) Validate() error {
+	switch {
+	case !ValidName(s.Key.Team):
+		return fmt.Errorf("team %q: want 1 to 128 letters, digits, '.', '_' or '-'", s.Key.Team)
+	case !ValidName(s.Key.ID):
+		return fmt.Errorf("id %q: want 1 to 128 letters, digits, '.', '_' or '-'", s.Key.ID)
+	case !ValidName(s.Kind):
+		return fmt.Errorf("kind %q: want 1 to 128 letters, digits, '.', '_' or '-'", s.Kind)
+	case s.RunTime < 0 || s.RunTime > MaxRunTime:
+		return fmt.Errorf("run time %s: want 0 to %s", s.RunTime, MaxRunTime)
+	case s.Shape.Slots > 0 && !ValidName(s.Service):
+		return fmt.Errorf("service %q: a job on slots needs the name of its service", s.Service)
+	}
+	return s.Shape.Validate()
+}
+
+// JobState is the durable state of a job record.
+type JobState string
+
+// The states of a job record. Claimed means that an attempt may have started.
+const (
+	JobAccepted JobState = "accepted"
+	JobClaimed  JobState = "claimed"
+	JobFinished JobState = "finished"
+)
+
+// Result is the typed result of finished work.
+type Result string
+
+// The results that a caller can be told. Refused means that the work did not run.
+const (
+	ResultDone      Result = "done"
+	ResultFailed    Result = "failed"
+	ResultRefused   Result = "refused"
+	ResultCancelled Result = "cancelled"
+	ResultUnknown   Result = "unknown"
+)
+
+// Outcome is the final answer for a request or a job.
+type Outcome struct {
+	Result Result `json:"result"`
+	// Ran says whether any attempt may have started. A refused outcome never ran.
+	Ran    bool            `json:"ran"`
+	Reason string          `json:"reason,omitempty"`
+	Output json.RawMessage `json:"output,omitempty"`
+}
+
+// Member is one agent's share of a gang.
+type Member struct {
+	Agent       string `json:"agent"`
+	Incarnation string `json:"incarnation"`
+	Units       int    `json:"units"`
+}
+
+// Job is the durable record of a job.
+type Job struct {
+	Spec  JobSpec  `json:"spec"`
+	Cell  string   `json:"cell"`
+	State JobState `json:"state"`
+	// Attempt counts claims. While accepted it is the number of the last claimed attempt.
+	Attempt int      `json:"attempt"`
+	Members []Member `json:"members,omitempty"`
+	// Ran is true once an attempt may have started; it is cleared only by proof of the contrary.
+	Ran             bool      `json:"ran"`
+	CancelRequested bool      `json:"cancel_requested,omitempty"`
+	FailedOn        []string  `json:"failed_on,omitempty"` // workers on which an attempt failed
+	Outcome         *Outcome  `json:"outcome,omitempty"`
+	Nonce           string    `json:"nonce"` // identifies the writer of this version of the record
+	Submitted       time.Time `json:"submitted"`
+	Claimed         time.Time `json:"claimed,omitzero"`
+	Finished        time.Time `json:"finished,omitzero"`
+	// Guaranteed is set on a claim that used the team's guarantee.
+	Guaranteed bool `json:"guaranteed,omitempty"`
+}
+
+// Request is a short request that is answered on the caller's connection. Short requests are idempotent.
+type Request struct {
+	Key     JobKey          `json:"key"`
+	Kind    string          `json:"kind"`
+	Service string          `json:"service"`
+	Payload json.RawMessage `json:"payload,omitempty"`
+	// Timeout is what remains until the caller's deadline, so that clocks need not agree.
+	Timeout time.Duration `json:"timeout"`
+}
+
+// MaxTimeout bounds the deadline of a short request.
+const MaxTimeout = 10 * time.Minute
+
+// Validate reports the first reason for which the request is malformed.
+func (r Request) Validate() error {
+	switch {
+	case !ValidName(r.Key.Team):
+		return fmt.Errorf("team %q: want 1 to 128 letters, digits, '.', '_' or '-'", r.Key.Team)
+	case !ValidName(r.Key.ID):
+		return fmt.Errorf("id %q: want 1 to 128 letters, digits, '.', '_' or '-'", r.Key.ID)
+	case !ValidName(r.Kind):
+		return fmt.Errorf("kind %q: want 1 to 128 letters, digits, '.', '_' or '-'", r.Kind)
+	case !ValidName(r.Service):
+		return fmt.Errorf("service %q: want 1 to 128 letters, digits, '.', '_' or '-'", r.Service)
+	case r.Timeout <= 0 || r.Timeout > MaxTimeout:
+		return fmt.Errorf("timeout %s: want more than 0 and at most %s", r.Timeout, MaxTimeout)
+	}
+	return nil
+}
