--- a/Makefile
+++ b/Makefile
@@ -24,4 +24,4 @@
 	"$$linter" run ./...
 
 demo: build
-	$(BIN)/masticcart-demo
+	scripts/demo
--- /dev/null
+++ b/cmd/masticcart-demo/main.go
@@ -0,0 +1,41 @@
+// Command masticcart-demo prepares the demo deployment and drives its scenario.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"masticcart.example/masticcart/internal/demo"
+)
+
+func main() {
+	dir := &cli.StringFlag{Name: "dir", Value: ".run", Usage: "folder of the settings and logs"}
+	app := &cli.Command{
+		Name:  "masticcart-demo",
+		Usage: "the demo deployment on loopback",
+		Commands: []*cli.Command{
+			{
+				Name: "prepare", Usage: "write the settings of all processes",
+				Flags: []cli.Flag{dir, &cli.IntFlag{Name: "base-port", Value: 21000, Usage: "ports are taken from here upwards"}},
+				Action: func(_ context.Context, c *cli.Command) error {
+					_, err := demo.Prepare(c.String("dir"), c.Int("base-port"), demo.DefaultSizes())
+					return err
+				},
+			},
+			{
+				Name: "drive", Usage: "send the work of a scenario file and check what must hold",
+				Flags: []cli.Flag{dir, &cli.StringFlag{Name: "scenario", Value: "examples/demo.jsonc", Usage: "scenario file"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return demo.Drive(ctx, c.String("dir"), c.String("scenario"), os.Stdout)
+				},
+			},
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "masticcart-demo:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/cell/coordinator.go
@@ -0,0 +1,334 @@
+package cell
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/placement"
+	"masticcart.example/masticcart/internal/protocol"
+)
+
+// Coordinator holds one cell's queue, attempts and view of upstreams. It does no I/O, takes the time as an
+// argument and is not safe for concurrent use. Every entry of the cell keeps the upstream view; only the
+// owner has jobs.
+type Coordinator struct {
+	cell      string
+	planner   placement.Planner
+	config    func() *model.Config
+	owner     bool
+	ownedAt   time.Time
+	listed    bool // the open index has been read since this entry became owner
+	jobs      map[model.JobKey]*job
+	upstreams map[string]*upstream
+	estimates estimates
+	dirty     bool
+	plannedAt time.Time
+	out       []Action
+	finished  func(model.Job)
+}
+
+// New returns a coordinator that is not yet the owner. finished is called for each job that ends.
+func New(cell string, p placement.Planner, config func() *model.Config, finished func(model.Job)) *Coordinator {
+	return &Coordinator{
+		cell: cell, planner: p, config: config, finished: finished,
+		jobs: make(map[model.JobKey]*job), upstreams: make(map[string]*upstream), estimates: make(estimates),
+	}
+}
+
+// Owner reports whether the coordinator acts for its cell.
+func (c *Coordinator) Owner() bool { return c.owner }
+
+// SetOwner starts or ends ownership. A new owner knows nothing but the upstream view and loads the rest.
+func (c *Coordinator) SetOwner(now time.Time, owner bool) {
+	if owner == c.owner {
+		return
+	}
+	klog.InfoS("Cell ownership changed", "cell", c.cell, "owner", owner, "upstreams", len(c.upstreams))
+	c.owner, c.listed, c.ownedAt = owner, false, now
+	c.jobs = make(map[model.JobKey]*job)
+	c.out = nil
+	if !owner {
+		return
+	}
+	for _, u := range c.upstreams {
+		u.lastOwned = now // an earlier owner may have acknowledged a heartbeat until now
+		for _, t := range u.tasks {
+			c.adoptTask(now, u, t)
+		}
+	}
+}
+
+// Drain returns the actions that came up since the last call.
+func (c *Coordinator) Drain() []Action {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Coordinator) emit(a Action) { c.out = append(c.out, a) }
+
+// Listed tells the coordinator which jobs are in the open index at the start of its ownership.
+func (c *Coordinator) Listed(now time.Time, keys []model.JobKey) {
+	if !c.owner {
+		return
+	}
+	c.listed = true
+	for _, k := range keys {
+		c.Touched(now, k)
+	}
+}
+
+// Touched tells the coordinator that a job is open and that its record may have changed.
+func (c *Coordinator) Touched(_ time.Time, key model.JobKey) {
+	if !c.owner {
+		return
+	}
+	if c.jobs[key] == nil {
+		c.jobs[key] = &job{key: key, phase: phaseLoading}
+	}
+	c.emit(LoadAction{Job: key})
+}
+
+// Missing tells the coordinator that an open job has no record. It stays known only while something runs.
+func (c *Coordinator) Missing(_ time.Time, key model.JobKey) {
+	if j := c.jobs[key]; j != nil && !j.loaded && j.attempt == nil {
+		delete(c.jobs, key)
+	}
+}
+
+// Loaded takes in a job record. Older versions than the known one are ignored.
+func (c *Coordinator) Loaded(now time.Time, r jobs.Record) {
+	key := r.Job.Spec.Key
+	j := c.jobs[key]
+	if !c.owner || j == nil || j.loaded && r.Revision < j.record.Revision {
+		return
+	}
+	fresh := !j.loaded || r.Revision > j.record.Revision
+	if fresh {
+		j.record, c.dirty = r, true
+	}
+	j.loaded = true
+	switch r.Job.State {
+	case model.JobFinished:
+		c.loadedFinished(now, j)
+	case model.JobClaimed:
+		c.loadedClaimed(now, j)
+	case model.JobAccepted:
+		c.loadedAccepted(now, j, fresh)
+	}
+}
+
+// loadedFinished ends whatever still goes on for a job that someone else finished.
+func (c *Coordinator) loadedFinished(now time.Time, j *job) {
+	if a := j.attempt; a != nil && j.phase != phaseWriting && !a.all(func(m *member) bool { return m.resolved }) {
+		if j.phase != phaseStopping {
+			c.stopAttempt(now, j, ending{requeue: true, reason: "the job is finished"})
+		}
+		return
+	}
+	c.drop(j)
+}
+
+func (c *Coordinator) loadedClaimed(now time.Time, j *job) {
+	r := j.record.Job
+	a := j.attempt
+	switch {
+	case a == nil:
+		c.adopt(now, j)
+	case j.phase == phaseWriting:
+		if j.pending == nil {
+			c.settle(now, j) // the last write failed, or the record was not known before
+		}
+	case j.phase == phaseCommitting && a.names(r):
+		// The answer to the claim is still on its way.
+	case j.phase == phaseHolding || j.phase == phaseCommitting || j.phase == phaseStopping:
+		c.stopAttempt(now, j, ending{requeue: true, reason: "another owner claimed the job"})
+	case !a.names(r):
+		c.adopt(now, j)
+	}
+	if r.CancelRequested {
+		c.cancelRunning(now, j)
+	}
+}
+
+func (c *Coordinator) loadedAccepted(now time.Time, j *job, fresh bool) {
+	if j.attempt == nil {
+		if fresh || j.phase != phaseWaiting {
+			c.toWaiting(now, j, 0)
+		}
+		return
+	}
+	switch j.phase {
+	case phaseRunning, phaseStarting:
+		// The record has left this attempt behind.
+		c.stopAttempt(now, j, ending{requeue: true, reason: "the record no longer names this attempt"})
+	case phaseWriting:
+		if j.pending == nil && j.attempt.all(func(m *member) bool { return m.resolved }) {
+			c.toWaiting(now, j, retryDelay)
+		}
+	}
+}
+
+// toWaiting puts the job back into the queue.
+func (c *Coordinator) toWaiting(now time.Time, j *job, delay time.Duration) {
+	if j.attempt != nil {
+		j.nextAttempt = max(j.nextAttempt, j.attempt.number+1)
+	}
+	j.phase, j.attempt, j.pending = phaseWaiting, nil, nil
+	j.nextAttempt = max(j.nextAttempt, j.record.Job.Attempt+1)
+	j.notBefore = now.Add(delay)
+	c.dirty = true
+}
+
+// drop forgets a job that has ended.
+func (c *Coordinator) drop(j *job) {
+	delete(c.jobs, j.key)
+	c.emit(CloseAction{Job: j.key})
+	if j.loaded && j.record.Job.State == model.JobFinished {
+		c.finished(j.record.Job)
+	}
+	c.dirty = true
+}
+
+// adopt takes over an attempt that the record names, for example from an earlier owner. Starting it again is
+// harmless: an agent answers yes for an attempt that already started.
+func (c *Coordinator) adopt(now time.Time, j *job) {
+	r := j.record.Job
+	a := &attempt{number: r.Attempt, guaranteed: r.Guaranteed, since: now}
+	for _, m := range r.Members {
+		a.members = append(a.members, &member{Member: m})
+	}
+	j.attempt = a
+	j.nextAttempt = max(j.nextAttempt, r.Attempt+1)
+	klog.InfoS("Adopted attempt", "cell", c.cell, "job", j.key, "attempt", a.number, "members", len(a.members))
+	c.startMembers(now, j)
+}
+
+// adoptTask lets a new owner supervise a gang whose record it cannot read during an outage of the platform.
+func (c *Coordinator) adoptTask(now time.Time, u *upstream, t *taskView) {
+	s := t.status
+	if c.listed || c.jobs[s.Job] != nil || !s.Started || s.Phase.Terminal() || len(s.Members) == 0 || s.Spec == nil {
+		return
+	}
+	a := &attempt{number: s.Attempt, since: now}
+	for _, m := range s.Members {
+		a.members = append(a.members, &member{Member: m})
+	}
+	j := &job{key: s.Job, phase: phaseRunning, attempt: a, nextAttempt: s.Attempt + 1}
+	j.record.Job = model.Job{Spec: *s.Spec, Cell: c.cell, State: model.JobClaimed, Attempt: s.Attempt, Members: s.Members}
+	c.jobs[s.Job] = j
+	klog.InfoS("Supervising attempt from an agent's report", "cell", c.cell, "job", s.Job, "attempt", s.Attempt, "agent", u.identity.Agent)
+	for _, m := range a.members {
+		if v := c.upstreams[m.Agent]; v != nil && v.identity.Incarnation == m.Incarnation {
+			if known := v.tasks[s.Job]; known != nil {
+				c.observe(now, j, m, known.status)
+			}
+		}
+	}
+}
+
+// Tick detects lost members, repeats unanswered calls and plans.
+func (c *Coordinator) Tick(now time.Time) {
+	if !c.owner {
+		return
+	}
+	for _, j := range c.jobs {
+		c.tickJob(now, j)
+	}
+	c.tickTasks(now)
+	if c.listed && (c.dirty || now.Sub(c.plannedAt) >= planInterval) {
+		c.dirty, c.plannedAt = false, now
+		c.plan(now)
+	}
+}
+
+func (c *Coordinator) tickJob(now time.Time, j *job) {
+	switch j.phase {
+	case phaseHolding:
+		if now.Sub(j.attempt.since) > holdTimeout {
+			c.stopAttempt(now, j, ending{requeue: true, reason: "holds were not answered in time"})
+		}
+	case phaseCommitting:
+		c.refreshHolds(now, j)
+	case phaseStarting, phaseRunning:
+		c.checkMembers(now, j)
+		c.leaveUpstreams(now, j)
+	case phaseStopping:
+		c.resendStops(now, j)
+	case phaseWriting, phaseLoading:
+		if !now.Before(j.notBefore) {
+			c.retryPlatform(now, j)
+		}
+	}
+}
+
+// retryPlatform reads the record again after a read or a write that failed.
+func (c *Coordinator) retryPlatform(now time.Time, j *job) {
+	if j.pending != nil {
+		return // its answer is still to come
+	}
+	j.notBefore = now.Add(platformRetry)
+	c.emit(LoadAction{Job: j.key})
+}
+
+// checkMembers stops the attempt when a member is lost, and repeats starts that were not answered.
+func (c *Coordinator) checkMembers(now time.Time, j *job) {
+	if j.phase == phaseStarting && now.Sub(j.attempt.since) > startTimeout {
+		c.stopAttempt(now, j, c.endingAfterLoss(j, "starts were not answered in time"))
+		return
+	}
+	for _, m := range j.attempt.members {
+		if m.phase.Terminal() {
+			continue
+		}
+		if why := c.lost(now, m); why != "" {
+			m.uncertain = true
+			c.stopAttempt(now, j, c.endingAfterLoss(j, "member "+m.Agent+" lost: "+why))
+			return
+		}
+		if j.phase == phaseStarting && !m.answered && now.Sub(m.askedAt) >= startResend {
+			c.sendStart(now, j, m)
+		}
+	}
+}
+
+// leaveUpstreams checkpoints a job that can be stopped when one of its upstreams leaves, so that a planned stop
+// need not wait for work that runs for hours.
+func (c *Coordinator) leaveUpstreams(now time.Time, j *job) {
+	if j.phase != phaseRunning || !j.record.Job.Spec.Preemptible {
+		return
+	}
+	for _, m := range j.attempt.members {
+		if u := c.upstreams[m.Agent]; u != nil && u.leaving {
+			c.stopAttempt(now, j, ending{requeue: true, checkpoint: true, reason: m.Agent + " is leaving"})
+			return
+		}
+	}
+}
+
+// lost returns why a member no longer counts as running, or "".
+func (c *Coordinator) lost(now time.Time, m *member) string {
+	u := c.upstreams[m.Agent]
+	switch {
+	case u == nil:
+		if now.Sub(c.ownedAt) > protocol.MemberTimeout {
+			return "never reported to this owner"
+		}
+	case u.identity.Incarnation != m.Incarnation:
+		return "its agent restarted"
+	case u.silent(now) && now.Sub(c.ownedAt) > protocol.MemberTimeout:
+		return "silent for " + now.Sub(u.lastSeen).Round(time.Millisecond).String()
+	}
+	return ""
+}
+
+// endingAfterLoss requeues idempotent work; other work may have run and is not repeated.
+func (c *Coordinator) endingAfterLoss(j *job, reason string) ending {
+	if j.record.Job.Spec.Idempotent {
+		return ending{requeue: true, reason: reason}
+	}
+	return ending{result: model.ResultUnknown, reason: reason}
+}
--- /dev/null
+++ b/internal/cell/service.go
@@ -0,0 +1,426 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/placement"
+	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/protocol"
+)
+
+const (
+	serviceTick = 100 * time.Millisecond
+	// eventQueue bounds the answers and reports that wait for the coordinator.
+	eventQueue = 4096
+	// callTimeout bounds a call to an agent; a stop may include a checkpoint.
+	callTimeout = 2 * time.Second
+	stopTimeout = protocol.CheckpointTimeout + callTimeout
+	// storeTimeout bounds one operation on a job record.
+	storeTimeout = 5 * time.Second
+	// storeConcurrency bounds the calls to the platform that one owner has in progress.
+	storeConcurrency = 64
+	watchWait        = 10 * time.Second
+	// resyncInterval repeats the listing of the open index, for touches that were lost.
+	resyncInterval = 30 * time.Second
+	// orphanIndexAge is how old an index entry without a record must be before it is removed.
+	orphanIndexAge = time.Minute
+	listRetry      = time.Second
+	// maxRecent bounds the finished jobs that queries still show. Older ones are read by their key.
+	maxRecent = 1000
+)
+
+// ErrBusy means that the coordinator's queue is full.
+var ErrBusy = errors.New("cell: event queue is full")
+
+// Agents sends commands to agents. An error means that the agent may or may not have acted.
+type Agents interface {
+	Hold(ctx context.Context, agent string, a protocol.HoldArgs) (protocol.HoldReply, error)
+	Start(ctx context.Context, agent string, a protocol.StartArgs) (protocol.StartReply, error)
+	Stop(ctx context.Context, agent string, a protocol.StopArgs) (protocol.StopReply, error)
+}
+
+// Service runs the coordinator of one cell at one entry.
+type Service struct {
+	cell   string
+	coord  *Coordinator
+	store  *jobs.Store
+	agents Agents
+	isOwn  func(now time.Time) bool
+	scope  tally.Scope
+
+	events     chan func(now time.Time)
+	storeSlots chan struct{}
+	owner      ownerSignal
+	waiters    waiters
+	recent     []protocol.JobView // finished jobs, without their outputs; for queries
+}
+
+// ownerSignal tells the index loop about changes of ownership.
+type ownerSignal struct {
+	mu      sync.Mutex
+	owner   bool
+	changed chan struct{}
+}
+
+func (o *ownerSignal) set(owner bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.owner != owner {
+		o.owner = owner
+		close(o.changed)
+		o.changed = make(chan struct{})
+	}
+}
+
+func (o *ownerSignal) get() (bool, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.owner, o.changed
+}
+
+// NewService returns a service that has not been started. isOwner tells whether this entry owns the cell.
+func NewService(cell string, p placement.Planner, config func() *model.Config, store *jobs.Store, agents Agents,
+	isOwner func(now time.Time) bool, scope tally.Scope) *Service {
+	s := &Service{
+		cell: cell, store: store, agents: agents, isOwn: isOwner, scope: scope,
+		events: make(chan func(time.Time), eventQueue), storeSlots: make(chan struct{}, storeConcurrency),
+		owner:   ownerSignal{changed: make(chan struct{})},
+		waiters: waiters{byJob: make(map[model.JobKey][]chan model.Job)},
+	}
+	s.coord = New(cell, p, config, s.jobFinished)
+	return s
+}
+
+// Run is the coordinator's goroutine; it ends with ctx.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(serviceTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.events:
+			f(time.Now())
+		case now := <-ticker.C:
+			own := s.isOwn(now)
+			s.coord.SetOwner(now, own)
+			s.owner.set(own)
+			started := time.Now()
+			s.coord.Tick(now)
+			s.scope.Timer("tick").Record(time.Since(started))
+		}
+		for _, a := range s.coord.Drain() {
+			s.perform(ctx, a)
+		}
+	}
+}
+
+// post hands an answer to the coordinator. It waits for room, since an answer must not be lost; the senders
+// are goroutines of single calls.
+func (s *Service) post(ctx context.Context, f func(now time.Time)) {
+	select {
+	case s.events <- f:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs f in the coordinator's goroutine and waits for its result. A full queue refuses at once.
+func ask[T any](ctx context.Context, s *Service, f func(now time.Time) T) (T, error) {
+	var zero T
+	result := make(chan T, 1)
+	select {
+	case s.events <- func(now time.Time) { result <- f(now) }:
+	default:
+		return zero, ErrBusy
+	}
+	select {
+	case r := <-result:
+		return r, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+func (s *Service) perform(ctx context.Context, a Action) {
+	s.scope.Tagged(map[string]string{"action": actionName(a)}).Counter("actions").Inc(1)
+	switch a := a.(type) {
+	case HoldAction:
+		go s.hold(ctx, a)
+	case StartAction:
+		go s.start(ctx, a)
+	case StopAction:
+		go s.stop(ctx, a)
+	case WriteAction:
+		go s.withStore(ctx, func(ctx context.Context) { s.write(ctx, a) })
+	case LoadAction:
+		go s.withStore(ctx, func(ctx context.Context) { s.load(ctx, a) })
+	case CloseAction:
+		go s.withStore(ctx, func(ctx context.Context) {
+			if err := s.store.RemoveOpen(ctx, s.cell, a.Job); err != nil {
+				klog.V(1).InfoS("Index entry not removed", "job", a.Job, "err", err)
+			}
+		})
+	}
+}
+
+func actionName(a Action) string {
+	switch a.(type) {
+	case HoldAction:
+		return "hold"
+	case StartAction:
+		return "start"
+	case StopAction:
+		return "stop"
+	case WriteAction:
+		return "write"
+	case LoadAction:
+		return "load"
+	}
+	return "close"
+}
+
+func (s *Service) hold(ctx context.Context, a HoldAction) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := s.agents.Hold(callCtx, a.Agent, a.Args)
+	s.post(ctx, func(now time.Time) { s.coord.HoldAnswered(now, a, reply, err) })
+}
+
+func (s *Service) start(ctx context.Context, a StartAction) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := s.agents.Start(callCtx, a.Agent, a.Args)
+	s.post(ctx, func(now time.Time) { s.coord.StartAnswered(now, a, reply, err) })
+}
+
+func (s *Service) stop(ctx context.Context, a StopAction) {
+	callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	reply, err := s.agents.Stop(callCtx, a.Agent, a.Args)
+	s.post(ctx, func(now time.Time) { s.coord.StopAnswered(now, a, reply, err) })
+}
+
+func (s *Service) withStore(ctx context.Context, f func(ctx context.Context)) {
+	select {
+	case s.storeSlots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-s.storeSlots }()
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	f(callCtx)
+}
+
+func (s *Service) write(ctx context.Context, a WriteAction) {
+	r, err := s.store.Write(ctx, a.Record.Job, a.Record.Revision)
+	if err == nil && a.Purpose == WriteRequeue {
+		// Another entry that also believes to be owner must not go on with the old attempt.
+		s.store.Touch(ctx, s.cell, a.Record.Job.Spec.Key)
+	}
+	s.post(context.WithoutCancel(ctx), func(now time.Time) { s.coord.Written(now, a, r, err) })
+}
+
+func (s *Service) load(ctx context.Context, a LoadAction) {
+	r, err := s.store.Get(ctx, a.Job)
+	switch {
+	case err == nil:
+		s.post(ctx, func(now time.Time) { s.coord.Loaded(now, r) })
+	case errors.Is(err, jobs.ErrNotFound):
+		s.post(ctx, func(now time.Time) { s.coord.Missing(now, a.Job) })
+	default:
+		klog.V(1).InfoS("Job record not read", "job", a.Job, "err", err)
+	}
+}
+
+// FollowIndex keeps the coordinator informed of the open index while this entry is owner.
+func (s *Service) FollowIndex(ctx context.Context) {
+	for ctx.Err() == nil {
+		owner, changed := s.owner.get()
+		if !owner {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		ownCtx, cancel := context.WithCancel(ctx)
+		go func() {
+			select {
+			case <-changed:
+				cancel()
+			case <-ownCtx.Done():
+			}
+		}()
+		if err := s.followOnce(ownCtx); err != nil && ownCtx.Err() == nil {
+			klog.InfoS("Open index not followed", "cell", s.cell, "err", err)
+		}
+		cancel()
+		select {
+		case <-time.After(listRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// followOnce lists the index and then watches it until the next resync or an error.
+func (s *Service) followOnce(ctx context.Context) error {
+	open, rev, err := s.store.ListOpen(ctx, s.cell)
+	if err != nil {
+		return err
+	}
+	keys := make([]model.JobKey, 0, len(open))
+	for _, o := range open {
+		keys = append(keys, o.Key)
+		if time.Since(o.Created) > orphanIndexAge {
+			s.removeOrphan(ctx, o)
+		}
+	}
+	s.post(ctx, func(now time.Time) { s.coord.Listed(now, keys) })
+	resync := time.Now().Add(resyncInterval)
+	for time.Now().Before(resync) {
+		changes, next, err := s.store.WatchOpen(ctx, s.cell, rev, watchWait)
+		if errors.Is(err, platform.ErrCompacted) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		rev = next
+		for _, o := range changes {
+			if !o.Removed {
+				s.post(ctx, func(now time.Time) { s.coord.Touched(now, o.Key) })
+			}
+		}
+	}
+	return nil
+}
+
+// removeOrphan drops an index entry that is old and has no record or a finished one.
+func (s *Service) removeOrphan(ctx context.Context, o jobs.Open) {
+	r, err := s.store.Get(ctx, o.Key)
+	switch {
+	case errors.Is(err, jobs.ErrNotFound):
+	case err == nil && r.Job.State == model.JobFinished:
+	default:
+		return
+	}
+	if err := s.store.RemoveOrphan(ctx, s.cell, o); err != nil {
+		klog.V(1).InfoS("Index entry not removed", "job", o.Key, "err", err)
+	}
+}
+
+// Announce handles an agent's announcement.
+func (s *Service) Announce(ctx context.Context, a protocol.AnnounceArgs) (protocol.HeartbeatReply, error) {
+	return ask(ctx, s, func(now time.Time) protocol.HeartbeatReply {
+		return protocol.HeartbeatReply{Forget: s.coord.Announce(now, a), Owner: s.coord.Owner()}
+	})
+}
+
+// Heartbeat handles an agent's heartbeat.
+func (s *Service) Heartbeat(ctx context.Context, h protocol.HeartbeatArgs) (protocol.HeartbeatReply, error) {
+	return ask(ctx, s, func(now time.Time) protocol.HeartbeatReply {
+		forget, known := s.coord.Heartbeat(now, h)
+		return protocol.HeartbeatReply{Forget: forget, Reannounce: !known, Owner: known && s.coord.Owner()}
+	})
+}
+
+// View returns the cell as this entry sees it. Jobs and upstreams are filled in by the owner only.
+func (s *Service) View(ctx context.Context) (protocol.CellReply, error) {
+	return ask(ctx, s, func(now time.Time) protocol.CellReply {
+		reply := protocol.CellReply{Cell: s.cell, Owner: s.coord.Owner()}
+		if reply.Owner {
+			reply.Jobs, reply.Workers = s.coord.Views(now)
+			reply.Jobs = append(reply.Jobs, s.recent...)
+		}
+		return reply
+	})
+}
+
+// Snapshot returns the policy's present view, for checks of guarantees.
+func (s *Service) Snapshot(ctx context.Context) (*placement.Snapshot, error) {
+	return ask(ctx, s, s.coord.Snapshot)
+}
+
+// Wait returns the record of an open job once it has finished, or its present state when ctx ends. It
+// returns false for a job that this entry does not own.
+func (s *Service) Wait(ctx context.Context, key model.JobKey) (model.Job, bool, error) {
+	done := s.waiters.add(key)
+	defer s.waiters.remove(key, done)
+	open, err := ask(ctx, s, func(time.Time) *model.Job { return s.coord.Job(key) })
+	if err != nil || open == nil {
+		return model.Job{}, false, err
+	}
+	if open.State == model.JobFinished {
+		return *open, true, nil
+	}
+	select {
+	case j := <-done:
+		return j, true, nil
+	case <-ctx.Done():
+		return *open, true, nil
+	}
+}
+
+// jobFinished runs in the coordinator's goroutine.
+func (s *Service) jobFinished(j model.Job) {
+	s.scope.Tagged(map[string]string{"result": string(j.Outcome.Result)}).Counter("jobs_finished").Inc(1)
+	s.waiters.wake(j)
+	shown := j
+	shown.Spec.Payload, shown.Outcome = nil, &model.Outcome{Result: j.Outcome.Result, Ran: j.Outcome.Ran, Reason: j.Outcome.Reason}
+	s.recent = append(s.recent, protocol.JobView{Job: shown})
+	if len(s.recent) > maxRecent {
+		s.recent = slices.Delete(s.recent, 0, len(s.recent)-maxRecent)
+	}
+}
+
+// waiters are the calls that wait for a job to finish.
+type waiters struct {
+	mu    sync.Mutex
+	byJob map[model.JobKey][]chan model.Job
+}
+
+func (w *waiters) add(key model.JobKey) chan model.Job {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ch := make(chan model.Job, 1)
+	w.byJob[key] = append(w.byJob[key], ch)
+	return ch
+}
+
+func (w *waiters) remove(key model.JobKey, ch chan model.Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := w.byJob[key]
+	for i, x := range list {
+		if x == ch {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(w.byJob, key)
+		return
+	}
+	w.byJob[key] = list
+}
+
+func (w *waiters) wake(j model.Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, ch := range w.byJob[j.Spec.Key] {
+		select {
+		case ch <- j:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/types.go
@@ -0,0 +1,201 @@
+// Package cell is the scheduler of one data centre: it keeps the queue and the view of the upstreams, asks
+// the placement policy for a plan and carries it out with hold, commit and start. The Coordinator is a state
+// machine without I/O; the Service connects it to the agents and the platform.
+package cell
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/protocol"
+)
+
+// Action is one effect that the coordinator asks for. Its answer comes back through the method named in the
+// action's comment.
+type Action interface{ isAction() }
+
+// HoldAction asks an agent to hold units; answered by HoldAnswered.
+type HoldAction struct {
+	Agent string
+	Args  protocol.HoldArgs
+}
+
+// StartAction starts a held attempt; answered by StartAnswered.
+type StartAction struct {
+	Agent string
+	Args  protocol.StartArgs
+}
+
+// StopAction fences and stops an attempt; answered by StopAnswered.
+type StopAction struct {
+	Agent string
+	Args  protocol.StopArgs
+}
+
+// WriteAction writes a job record by compare-and-swap; answered by Written.
+type WriteAction struct {
+	Record  jobs.Record
+	Attempt int
+	Purpose WritePurpose
+}
+
+// LoadAction reads a job record; answered by Loaded or Missing.
+type LoadAction struct{ Job model.JobKey }
+
+// CloseAction removes the open index entry of a finished job. It needs no answer.
+type CloseAction struct{ Job model.JobKey }
+
+func (HoldAction) isAction()  {}
+func (StartAction) isAction() {}
+func (StopAction) isAction()  {}
+func (WriteAction) isAction() {}
+func (LoadAction) isAction()  {}
+func (CloseAction) isAction() {}
+
+// WritePurpose says which transition a write makes.
+type WritePurpose string
+
+// The transitions that the owner of a cell writes.
+const (
+	WriteClaim   WritePurpose = "claim"
+	WriteRequeue WritePurpose = "requeue"
+	WriteFinish  WritePurpose = "finish"
+)
+
+// phase is where a job stands in the owner's memory.
+type phase string
+
+const (
+	phaseWaiting    phase = "waiting"
+	phaseHolding    phase = "holding"
+	phaseCommitting phase = "committing"
+	phaseStarting   phase = "starting"
+	phaseRunning    phase = "running"
+	phaseStopping   phase = "stopping"
+	phaseWriting    phase = "writing"
+	phaseLoading    phase = "loading"
+)
+
+// Bounds of the coordinator.
+const (
+	// holdTimeout leaves time for the commit before the holds expire.
+	holdTimeout = 3 * time.Second
+	// holdRefresh renews the holds while a slow platform takes its time with the commit.
+	holdRefresh = 2 * time.Second
+	// startTimeout bounds how long a gang may have started on some members only because a start is not answered.
+	startTimeout = 5 * time.Second
+	startResend  = 500 * time.Millisecond
+	// stopResend repeats stops that were not answered.
+	stopResend = 1 * time.Second
+	// leaseCertainty is how long after a member's last acknowledged heartbeat its tasks have certainly ended.
+	leaseCertainty = protocol.AgentLease + protocol.TaskLease
+	// retryDelay keeps a job that could not be held or committed out of the next plans.
+	retryDelay = 250 * time.Millisecond
+	// platformRetry spaces the calls for one job while the platform is down.
+	platformRetry = 1 * time.Second
+	// planInterval is the longest time between plans; changes bring the next one forward.
+	planInterval = 1 * time.Second
+	// orphanDelay is how long a task may be unknown to the owner before it is stopped or forgotten. The job may
+	// be on its way through the platform's watch.
+	orphanDelay = 5 * time.Second
+	// maxDistinctFailures ends a job that failed on as many workers.
+	maxDistinctFailures = 3
+	// maxGangOutputBytes keeps the finished record under the platform's limit of 1 MB.
+	maxGangOutputBytes = 512 << 10
+)
+
+// member is one agent's part in an attempt.
+type member struct {
+	model.Member
+	answered  bool // the hold or the start was answered
+	resolved  bool // nothing of the attempt runs here any more
+	started   bool // the attempt ran here
+	uncertain bool // the agent could not tell whether it ran
+	phase     protocol.TaskPhase
+	reason    string
+	output    json.RawMessage
+	askedAt   time.Time // of the last hold or stop
+}
+
+// ending says what becomes of a job once its attempt has stopped.
+type ending struct {
+	requeue    bool
+	result     model.Result // unless requeue
+	reason     string
+	checkpoint bool // ask for a checkpoint before the stop
+}
+
+type attempt struct {
+	number     int
+	members    []*member
+	guaranteed bool
+	since      time.Time // start of the phase
+	ending     *ending   // set in phase stopping
+}
+
+func (a *attempt) member(agent string) *member {
+	for _, m := range a.members {
+		if m.Agent == agent {
+			return m
+		}
+	}
+	return nil
+}
+
+func (a *attempt) all(f func(*member) bool) bool {
+	for _, m := range a.members {
+		if !f(m) {
+			return false
+		}
+	}
+	return true
+}
+
+// names reports whether the record's claim is this attempt. The number alone does not tell: two entries that
+// both believe to own the cell may have used the same one for different members.
+func (a *attempt) names(r model.Job) bool {
+	return r.Attempt == a.number && slices.Equal(r.Members, a.modelMembers())
+}
+
+func (a *attempt) modelMembers() []model.Member {
+	out := make([]model.Member, len(a.members))
+	for i, m := range a.members {
+		out[i] = m.Member
+	}
+	return out
+}
+
+type job struct {
+	key         model.JobKey
+	record      jobs.Record
+	loaded      bool // the record has been read
+	phase       phase
+	attempt     *attempt
+	nextAttempt int
+	notBefore   time.Time
+	reason      string
+	wouldChange string
+	// pending is a write that waits for the platform.
+	pending *WriteAction
+}
+
+type upstream struct {
+	identity  protocol.Identity
+	free      int
+	lastSeen  time.Time
+	lastOwned time.Time // last heartbeat that was acknowledged as owner
+	leaving   bool
+	config    int64
+	tasks     map[model.JobKey]*taskView
+	health    health
+}
+
+type taskView struct {
+	status protocol.TaskStatus
+	seen   time.Time // when the owner first had no job for it
+}
+
+func (u *upstream) silent(now time.Time) bool { return now.Sub(u.lastSeen) > protocol.MemberTimeout }
--- /dev/null
+++ b/internal/config/errors.go
@@ -0,0 +1,46 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Errors of Repository. All but ErrUnknownOutcome mean that the change was not applied.
+var (
+	// ErrUnavailable means that the platform could not be read or did not accept the write.
+	ErrUnavailable = errors.New("config: the platform is unavailable, nothing was changed")
+	// ErrUnknownOutcome means that the change may or may not have been applied, now or shortly.
+	ErrUnknownOutcome = errors.New("config: the outcome of the change is unknown")
+	// ErrContention means that other writers won every attempt.
+	ErrContention = errors.New("config: too many concurrent changes, nothing was changed")
+	// ErrTooLarge means that the document would exceed the platform's limit.
+	ErrTooLarge = errors.New("config: the document would be too large, nothing was changed")
+	// ErrCorrupt means that the stored document cannot be decoded.
+	ErrCorrupt = errors.New("config: the stored document cannot be decoded")
+)
+
+// StaleError refuses a change that was based on another version than the head.
+type StaleError struct {
+	Base    int64
+	Head    int64
+	Changes []string // what changed after Base, oldest first
+}
+
+// Error names both versions and the changes between them.
+func (e *StaleError) Error() string {
+	if len(e.Changes) == 0 {
+		return fmt.Sprintf("config: the change is based on version %d, but the head is version %d", e.Base, e.Head)
+	}
+	return fmt.Sprintf("config: the change is based on version %d, but the head is version %d; since then: %s",
+		e.Base, e.Head, strings.Join(e.Changes, "; "))
+}
+
+// InvalidError refuses a change whose edit failed or whose result is not valid.
+type InvalidError struct{ Err error }
+
+// Error gives the reason.
+func (e *InvalidError) Error() string { return "config: invalid change: " + e.Err.Error() }
+
+// Unwrap returns the reason.
+func (e *InvalidError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/entry/fx.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/cell"
+	"masticcart.example/masticcart/internal/config"
+	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/membership"
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/placement"
+	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/protocol"
+	"masticcart.example/masticcart/internal/routing"
+	"masticcart.example/masticcart/internal/rpc"
+	"masticcart.example/masticcart/internal/settings"
+	"masticcart.example/masticcart/internal/telemetry"
+	"masticcart.example/masticcart/internal/transport"
+)
+
+var errLeaving = errors.New("entry: this entry is leaving")
+var errNoConfig = errors.New("entry: the configuration is not known yet")
+
+// Module wires the entry role. It needs *settings.Settings.
+var Module = fx.Module("entry",
+	fx.Provide(telemetry.NewMetrics, transport.New, newStore, newTable, newOwnership, newRepository, newConfigSync,
+		NewAgents, newPeers, newRouter, newCell, newJobs, newServer, readiness),
+	fx.Invoke(telemetry.Serve, run),
+)
+
+// ownership tells whether this entry owns its cell.
+type ownership func(now time.Time) bool
+
+func newStore(s *settings.Settings) platform.Store {
+	return platform.NewHTTP(s.Entry.Platform.Addresses, s.Entry.Platform.Timeout, nil)
+}
+
+func newTable(s *settings.Settings) *membership.Table {
+	return membership.NewTable(protocol.GossipArgs{Entry: s.Name, Address: s.Entry.RPCAdvertise, Region: s.Region, Cell: s.Cell})
+}
+
+// newOwnership waits for PeerTimeout after the start: an entry that has not heard from its peers yet would
+// always take itself for the owner.
+func newOwnership(t *membership.Table) ownership {
+	started := time.Now()
+	return func(now time.Time) bool { return now.Sub(started) > protocol.PeerTimeout && t.Owner(now) }
+}
+
+func newRepository(s platform.Store) *config.Repository { return config.NewRepository(s) }
+
+func newConfigSync(s platform.Store, own ownership) *ConfigSync {
+	a := config.NewApplier()
+	return NewConfigSync(a, config.NewWatcher(s, a), own)
+}
+
+func newJobs(s platform.Store) *jobs.Store { return jobs.NewStore(s, time.Now) }
+
+func newPeers(s *settings.Settings, t *membership.Table, store platform.Store, tc *transport.Config) *Peers {
+	return &Peers{table: t, store: store, tls: tc.Dial, seeds: s.Entry.Peers,
+		conns: make(map[string]*rpc.Conn), alive: make(map[string]bool)}
+}
+
+func newRouter(s *settings.Settings, c *ConfigSync, a *Agents, p *Peers, m *telemetry.Metrics) *routing.Router {
+	r := routing.New(routing.Options{
+		Entry: s.Name, Region: s.Region, Cell: s.Cell, MaxQueue: s.Entry.MaxQueue,
+		Rule:       func(kind string) model.Rule { return c.Current().Rule(kind) },
+		Dispatcher: dispatcher{agents: a, peers: p, self: s.Name},
+		Scope:      m.Scope.SubScope("routing"),
+	})
+	p.self = func(g *protocol.GossipArgs) { g.Loads, g.ConfigVersion = r.Loads(), c.Version() }
+	p.lost = r.RemovePeer
+	p.heard = func(g protocol.GossipArgs) {
+		r.UpdatePeer(g)
+		c.PeerReported(g.ConfigVersion, func(ctx context.Context, args protocol.ConfigArgs, reply *protocol.ConfigReply) error {
+			return p.CallAddress(ctx, g.Address, protocol.MethodConfig, args, reply)
+		})
+	}
+	return r
+}
+
+func newCell(s *settings.Settings, c *ConfigSync, j *jobs.Store, a *Agents, own ownership, r *routing.Router, m *telemetry.Metrics) *cell.Service {
+	service := cell.NewService(s.Cell, placement.New(placement.Options{}), c.Current, j, a, own, m.Scope.SubScope("cell"))
+	a.Attach(service, r)
+	return service
+}
+
+func newServer(s *settings.Settings, c *ConfigSync, repo *config.Repository, j *jobs.Store, r *routing.Router, cs *cell.Service,
+	t *membership.Table, p *Peers, a *Agents, m *telemetry.Metrics) *Server {
+	server := &Server{settings: s.Entry, config: c, repository: repo, jobs: j, router: r, cell: cs, table: t, peers: p, agents: a,
+		scope: m.Scope.SubScope("api"), draining: make(chan struct{})}
+	p.handlers = server.handlers()
+	return server
+}
+
+func readiness(s *Server) telemetry.Ready {
+	return func() error {
+		switch {
+		case s.leaving.Load():
+			return errLeaving
+		case !s.config.Ready():
+			return errNoConfig
+		}
+		return nil
+	}
+}
+
+// run starts the duties of an entry in order and stops them in reverse: callers first, then the sessions.
+func run(lc fx.Lifecycle, set *settings.Settings, tc *transport.Config, s *Server, repo *config.Repository) {
+	ctx, cancel := context.WithCancel(context.Background())
+	web := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: set.Entry.ReadHeaderTimeout, IdleTimeout: idleTimeout}
+	var own *rpc.Server
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			var err error
+			if own, err = rpc.Listen(set.Entry.RPCListen, tc.Listen, s.handlers()); err != nil {
+				return err
+			}
+			for _, duty := range []func(context.Context){s.cell.Run, s.cell.FollowIndex, s.config.Follow, s.config.Fetch, s.peers.Gossip} {
+				go duty(ctx)
+			}
+			go s.config.LoadOnce(ctx, repo)
+			return listenAPI(web, set.Entry.APIListen, tc.API)
+		},
+		OnStop: func(context.Context) error {
+			own.Close()
+			cancel()
+			s.router.Close()
+			s.peers.Close()
+			return nil
+		},
+	})
+	registered := make(chan struct{})
+	registerCtx, unregister := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(registered)
+				s.peers.Register(registerCtx, set.Name, set.Cell, set.Entry.RPCAdvertise)
+			}()
+			klog.InfoS("Entry started", "entry", set.Name, "region", set.Region, "cell", set.Cell, "api", set.Entry.APIListen, "rpc", set.Entry.RPCListen)
+			return nil
+		},
+		OnStop: func(stopCtx context.Context) error {
+			err := s.leave(stopCtx, web)
+			unregister()
+			<-registered
+			return err
+		},
+	})
+}
+
+// leave stops taking callers, hands the cell over and returns when every request in flight is answered.
+func (s *Server) leave(ctx context.Context, web *http.Server) error {
+	klog.InfoS("Leaving")
+	s.Leave()
+	s.table.SetSelf(func(g *protocol.GossipArgs) { g.Leaving = true })
+	select {
+	case <-time.After(protocol.DrainDelay):
+	case <-ctx.Done():
+	}
+	s.EndWaits()
+	err := web.Shutdown(ctx)
+	return errors.Join(err, s.router.Drain(ctx))
+}
+
+func listenAPI(web *http.Server, address string, tlsConfig *tls.Config) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	if tlsConfig != nil {
+		l = tls.NewListener(l, tlsConfig)
+	}
+	go func() {
+		if err := web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "API listener failed")
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/cell"
+	"masticcart.example/masticcart/internal/client/api"
+	"masticcart.example/masticcart/internal/config"
+	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/membership"
+	"masticcart.example/masticcart/internal/routing"
+	"masticcart.example/masticcart/internal/settings"
+)
+
+const (
+	// bodyTimeout bounds how long a caller may take to send its body.
+	bodyTimeout = 10 * time.Second
+	// idleTimeout closes connections that callers keep open without use.
+	idleTimeout = 2 * time.Minute
+)
+
+// Server is the HTTP API of an entry.
+type Server struct {
+	settings   *settings.Entry
+	config     *ConfigSync
+	repository *config.Repository
+	jobs       *jobs.Store
+	router     *routing.Router
+	cell       *cell.Service
+	table      *membership.Table
+	peers      *Peers
+	agents     *Agents
+	scope      tally.Scope
+
+	leaving  atomic.Bool
+	draining chan struct{} // closed when long polls are to answer at once
+}
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", s.live).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	route := func(method, path string, h handler) {
+		r.Handle(path, s.wrap(path, h)).Methods(method)
+	}
+	route(http.MethodPost, api.PathRequests, s.postRequest)
+	route(http.MethodPost, api.PathJobs, s.postJob)
+	route(http.MethodGet, api.PathJob, s.getJob)
+	route(http.MethodGet, api.PathJobWait, s.waitJob)
+	route(http.MethodPost, api.PathJobCancel, s.cancelJob)
+	route(http.MethodPost, api.PathQuery, s.postQuery)
+	route(http.MethodPost, api.PathChanges, s.postChange)
+	route(http.MethodGet, api.PathConfig, s.getConfig)
+	route(http.MethodGet, api.PathConfigStatus, s.getConfigStatus)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.writeError(w, apiError(http.StatusNotFound, api.CodeNotFound, "no such path"))
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.writeError(w, apiError(http.StatusMethodNotAllowed, api.CodeBadRequest, "method %s is not allowed here", r.Method))
+	})
+	return r
+}
+
+// live reports that the process serves HTTP; it says nothing about its surroundings.
+func (s *Server) live(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, http.StatusOK, "live") }
+
+// ready reports whether the balancer should send callers here.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case s.leaving.Load():
+		s.writeError(w, apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "this entry is leaving"))
+	case !s.config.Ready():
+		s.writeError(w, apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "the configuration is not known yet"))
+	default:
+		s.writeJSON(w, http.StatusOK, "ready")
+	}
+}
+
+// Leave fails readiness, so that the balancer sends no more callers here.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// EndWaits makes long polls answer with the present state.
+func (s *Server) EndWaits() { close(s.draining) }
+
+// reply is a status and the body that goes with it.
+type reply struct {
+	status int
+	body   any
+}
+
+// handler serves one authenticated call.
+type handler func(r *http.Request, p principal) (reply, error)
+
+// wrap authenticates, bounds the body in size and time, and writes the reply.
+func (s *Server) wrap(path string, h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started := time.Now()
+		r.Body = http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes)
+		if err := http.NewResponseController(w).SetReadDeadline(started.Add(bodyTimeout)); err != nil {
+			klog.V(2).InfoS("Read deadline not set", "err", err)
+		}
+		out, err := s.serve(w, r, h)
+		scope := s.scope.Tagged(map[string]string{"path": path})
+		scope.Timer("api_latency").Record(time.Since(started))
+		if err != nil {
+			scope.Tagged(map[string]string{"code": codeOf(err)}).Counter("api_errors").Inc(1)
+			s.writeError(w, err)
+			return
+		}
+		s.writeJSON(w, out.status, out.body)
+	})
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, h handler) (reply, error) {
+	if !s.config.Ready() {
+		return reply{}, apiError(http.StatusServiceUnavailable, api.CodeUnavailable, "the configuration is not known yet; nothing was accepted")
+	}
+	p, err := s.authenticate(r)
+	if err != nil {
+		return reply{}, err
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return reply{}, bodyError(err, s.settings.MaxBodyBytes)
+	}
+	// The handler may take long; the deadline was for the body only.
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		klog.V(2).InfoS("Read deadline not cleared", "err", err)
+	}
+	return h(r.WithContext(context.WithValue(r.Context(), bodyKey{}, body)), p)
+}
+
+type bodyKey struct{}
+
+func bodyError(err error, limit int64) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return apiError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "the body exceeds %d bytes", limit)
+	}
+	return apiError(http.StatusRequestTimeout, api.CodeBadRequest, "the body was not read within %s: %v", bodyTimeout, err)
+}
+
+// decode reads the body strictly: unknown fields and trailing data are errors.
+func decode(r *http.Request, v any) error {
+	body, _ := r.Context().Value(bodyKey{}).([]byte)
+	if err := unmarshalStrict(body, v); err != nil {
+		return apiError(http.StatusBadRequest, api.CodeBadRequest, "the body is not valid: %v", err)
+	}
+	return nil
+}
+
+func (s *Server) writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		s.writeError(w, apiError(http.StatusInternalServerError, api.CodeInternal, "the reply cannot be encoded: %v", err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if _, err := w.Write(append(data, '\n')); err != nil {
+		klog.V(1).InfoS("Reply not sent", "err", err)
+	}
+}
+
+func (s *Server) writeError(w http.ResponseWriter, err error) {
+	out := api.ErrorReply{Error: err.Error(), Code: codeOf(err)}
+	var stale *config.StaleError
+	if errors.As(err, &stale) {
+		out.Head, out.Changes = stale.Head, stale.Changes
+	}
+	s.writeJSON(w, statusOf(err), out)
+}
--- /dev/null
+++ b/internal/jobs/store.go
@@ -0,0 +1,362 @@
+// Package jobs keeps the durable job records in the platform's key-value service. A record changes by
+// compare-and-swap only, and a write whose answer was lost is resolved by reading back its nonce.
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/platform"
+)
+
+// Errors of this package.
+var (
+	// ErrNotFound means that no such job was accepted, or that its record was removed after retention.
+	ErrNotFound = merry.New("job not found")
+	// ErrConflict means that the record changed since it was read; the write took no effect.
+	ErrConflict = merry.New("job record changed")
+	// ErrUnavailable means that the platform cannot be reached; a write certainly took no effect.
+	ErrUnavailable = merry.New("platform unavailable")
+	// ErrUnknownOutcome means that a write may have taken effect and could not be read back.
+	ErrUnknownOutcome = merry.New("outcome of the write is unknown")
+	// ErrDifferentBody means that the id was used before for other work.
+	ErrDifferentBody = merry.New("the id belongs to a job with a different body")
+	// ErrCorrupt means that a record cannot be decoded.
+	ErrCorrupt = merry.New("job record cannot be decoded")
+)
+
+const (
+	recordPrefix = "jobs/"
+	openPrefix   = "open/"
+	// rangeLimit is the page size of range calls.
+	rangeLimit = 500
+	// readBackTries and readBackDelay bound the resolution of a lost answer within one call.
+	readBackTries = 3
+	readBackDelay = 50 * time.Millisecond
+)
+
+// Record is a job with the revision that the next write must name.
+type Record struct {
+	Job      model.Job
+	Revision platform.Revision
+}
+
+// Store reads and writes job records.
+type Store struct {
+	kv  platform.Store
+	now func() time.Time
+}
+
+// NewStore returns a store over the platform's service.
+func NewStore(kv platform.Store, now func() time.Time) *Store { return &Store{kv: kv, now: now} }
+
+func recordKey(k model.JobKey) string { return recordPrefix + k.Team + "/" + k.ID }
+
+func openKey(cell string, k model.JobKey) string {
+	return openPrefix + cell + "/" + k.Team + "/" + k.ID
+}
+
+// parseOpenKey returns the job of an entry of the open index.
+func parseOpenKey(key string) (model.JobKey, bool) {
+	parts := strings.Split(key, "/")
+	if len(parts) != 4 {
+		return model.JobKey{}, false
+	}
+	return model.JobKey{Team: parts[2], ID: parts[3]}, true
+}
+
+// translate turns the platform's errors into this package's.
+func translate(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrNotFound):
+		return merry.Wrap(ErrNotFound, merry.WithCause(err))
+	case errors.Is(err, platform.ErrConflict):
+		return merry.Wrap(ErrConflict, merry.WithCause(err))
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
+	case errors.Is(err, platform.ErrUnavailable):
+		return merry.Wrap(ErrUnavailable, merry.WithCause(err))
+	}
+	return merry.Prepend(err, "jobs")
+}
+
+// Get returns the record of a job.
+func (s *Store) Get(ctx context.Context, key model.JobKey) (Record, error) {
+	e, err := s.kv.Get(ctx, recordKey(key))
+	if err != nil {
+		return Record{}, translate(err)
+	}
+	return decode(e)
+}
+
+func decode(e platform.Entry) (Record, error) {
+	var j model.Job
+	if err := json.Unmarshal(e.Value, &j); err != nil {
+		return Record{}, merry.Wrap(ErrCorrupt, merry.AppendMessagef("%s: %v", e.Key, err))
+	}
+	return Record{Job: j, Revision: e.Revision}, nil
+}
+
+// Write replaces the record at the revision. A lost answer is read back; ErrUnknownOutcome remains only if
+// that fails too.
+func (s *Store) Write(ctx context.Context, job model.Job, at platform.Revision) (Record, error) {
+	job.Nonce = uuid.NewString()
+	value, err := json.Marshal(job)
+	if err != nil {
+		return Record{}, merry.Prepend(err, "jobs: encode")
+	}
+	rev, err := s.kv.Put(ctx, recordKey(job.Spec.Key), value, at, 0)
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		return s.readBack(ctx, job, at)
+	}
+	if err != nil {
+		return Record{}, translate(err)
+	}
+	return Record{Job: job, Revision: rev}, nil
+}
+
+// readBack finds out whether the write of this job version took effect. Once the revision has moved past the
+// one that the write named, the write is either visible by its nonce or can never take effect any more. While
+// the revision stands still, a slow platform may still apply it, and the outcome stays unknown.
+func (s *Store) readBack(ctx context.Context, job model.Job, at platform.Revision) (Record, error) {
+	for try := range readBackTries {
+		if try > 0 && sleep(ctx, readBackDelay) != nil {
+			break
+		}
+		r, err := s.Get(ctx, job.Spec.Key)
+		switch {
+		case err == nil && r.Job.Nonce == job.Nonce:
+			return r, nil
+		case err == nil && r.Revision != at:
+			return Record{}, ErrConflict
+		}
+	}
+	return Record{}, ErrUnknownOutcome
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// Submit accepts a job durably: open index first, then the record, then a check that the index entry is still
+// there. If the id is known it returns the existing record and false, or ErrDifferentBody.
+func (s *Store) Submit(ctx context.Context, spec model.JobSpec, cell string) (Record, bool, error) {
+	if r, err := s.Get(ctx, spec.Key); err == nil {
+		return joinExisting(r, spec)
+	} else if !errors.Is(err, ErrNotFound) {
+		return Record{}, false, err
+	}
+	if err := s.putOpen(ctx, cell, spec.Key); err != nil {
+		return Record{}, false, err
+	}
+	job := model.Job{Spec: spec, Cell: cell, State: model.JobAccepted, Submitted: s.now().UTC()}
+	r, err := s.Write(ctx, job, 0)
+	if errors.Is(err, ErrConflict) {
+		existing, err := s.Get(ctx, spec.Key)
+		if err != nil {
+			return Record{}, false, err
+		}
+		return joinExisting(existing, spec)
+	}
+	if err != nil {
+		return Record{}, false, err
+	}
+	if err := s.restoreOpen(ctx, cell, spec.Key); err != nil {
+		return Record{}, false, err
+	}
+	return r, true, nil
+}
+
+// joinExisting compares everything that the caller sent except the deadline, which is relative to the call.
+func joinExisting(r Record, spec model.JobSpec) (Record, bool, error) {
+	known := r.Job.Spec
+	known.Deadline, spec.Deadline = time.Time{}, time.Time{}
+	a, errA := json.Marshal(known)
+	b, errB := json.Marshal(spec)
+	if errA != nil || errB != nil || !bytes.Equal(a, b) {
+		return Record{}, false, ErrDifferentBody
+	}
+	return r, false, nil
+}
+
+// putOpen creates the index entry of a job; an existing one is as good.
+func (s *Store) putOpen(ctx context.Context, cell string, key model.JobKey) error {
+	stamp, err := s.now().UTC().MarshalText()
+	if err != nil {
+		return merry.Prepend(err, "jobs: encode")
+	}
+	_, err = s.kv.Put(ctx, openKey(cell, key), stamp, 0, 0)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		return s.restoreOpen(ctx, cell, key)
+	}
+	return translate(err)
+}
+
+func (s *Store) restoreOpen(ctx context.Context, cell string, key model.JobKey) error {
+	_, err := s.kv.Get(ctx, openKey(cell, key))
+	if errors.Is(err, platform.ErrNotFound) {
+		return s.putOpen(ctx, cell, key)
+	}
+	return translate(err)
+}
+
+// Cancel finishes a job that was never claimed, or asks the owner to stop a claimed one. A finished job is
+// returned as it is.
+func (s *Store) Cancel(ctx context.Context, key model.JobKey) (Record, error) {
+	for {
+		r, err := s.Get(ctx, key)
+		if err != nil {
+			return Record{}, err
+		}
+		if r.Job.State == model.JobFinished || r.Job.CancelRequested {
+			return r, nil
+		}
+		next := r.Job
+		if next.State == model.JobAccepted {
+			next = Finished(next, model.Outcome{Result: model.ResultCancelled, Ran: next.Ran, Reason: "cancelled by its caller"}, s.now())
+		}
+		next.CancelRequested = true
+		written, err := s.Write(ctx, next, r.Revision)
+		if errors.Is(err, ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return Record{}, err
+		}
+		s.Touch(ctx, next.Cell, key)
+		return written, nil
+	}
+}
+
+// Withdraw finishes a job that was never claimed as refused, because its caller no longer waits. A job that
+// was claimed or has finished is returned as it is.
+func (s *Store) Withdraw(ctx context.Context, key model.JobKey, reason string) (Record, error) {
+	for {
+		r, err := s.Get(ctx, key)
+		if err != nil || r.Job.State != model.JobAccepted || r.Job.Ran {
+			return r, err
+		}
+		o := model.Outcome{Result: model.ResultRefused, Reason: reason}
+		written, err := s.Write(ctx, Finished(r.Job, o, s.now()), r.Revision)
+		if errors.Is(err, ErrConflict) {
+			continue
+		}
+		if err == nil {
+			s.Touch(ctx, r.Job.Cell, key)
+		}
+		return written, err
+	}
+}
+
+// Finished returns the job in its final state.
+func Finished(j model.Job, o model.Outcome, now time.Time) model.Job {
+	j.State, j.Outcome, j.Finished = model.JobFinished, &o, now.UTC()
+	j.Members, j.Checkpoint = nil, nil
+	return j
+}
+
+// Touch rewrites the index entry so that the owner's watch sees that the record changed. The owner also
+// re-reads its records at intervals, so a failure only delays it.
+func (s *Store) Touch(ctx context.Context, cell string, key model.JobKey) {
+	e, err := s.kv.Get(ctx, openKey(cell, key))
+	if err != nil {
+		return
+	}
+	_, _ = s.kv.Put(ctx, e.Key, e.Value, e.Revision, 0)
+}
+
+// Open is one entry of the open index.
+type Open struct {
+	Key      model.JobKey
+	Created  time.Time
+	Removed  bool
+	revision platform.Revision
+}
+
+func openOf(e platform.Entry) (Open, bool) {
+	key, ok := parseOpenKey(e.Key)
+	if !ok {
+		return Open{}, false
+	}
+	o := Open{Key: key, revision: e.Revision}
+	_ = o.Created.UnmarshalText(e.Value)
+	return o, true
+}
+
+// ListOpen returns the open jobs of a cell and the revision from which WatchOpen continues.
+func (s *Store) ListOpen(ctx context.Context, cell string) ([]Open, platform.Revision, error) {
+	prefix := openPrefix + cell + "/"
+	var out []Open
+	var first platform.Revision
+	after := ""
+	for {
+		entries, rev, err := s.kv.Range(ctx, prefix, after, rangeLimit)
+		if err != nil {
+			return nil, 0, translate(err)
+		}
+		if first == 0 {
+			first = rev
+		}
+		for _, e := range entries {
+			if o, ok := openOf(e); ok {
+				out = append(out, o)
+			}
+			after = e.Key
+		}
+		if len(entries) < rangeLimit {
+			return out, first, nil
+		}
+	}
+}
+
+// WatchOpen waits for changes of the open index after a revision.
+func (s *Store) WatchOpen(ctx context.Context, cell string, since platform.Revision, wait time.Duration) ([]Open, platform.Revision, error) {
+	events, rev, err := s.kv.Watch(ctx, openPrefix+cell+"/", since, wait)
+	if err != nil {
+		return nil, 0, translate(err)
+	}
+	var out []Open
+	for _, ev := range events {
+		if o, ok := openOf(ev.Entry); ok {
+			o.Removed = ev.Deleted
+			out = append(out, o)
+		}
+	}
+	return out, rev, nil
+}
+
+// RemoveOpen drops the index entry of a finished job. A failure leaves an entry that the next listing finds
+// again and removes.
+func (s *Store) RemoveOpen(ctx context.Context, cell string, key model.JobKey) error {
+	e, err := s.kv.Get(ctx, openKey(cell, key))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return translate(err)
+	}
+	return translate(s.kv.Delete(ctx, e.Key, e.Revision))
+}
+
+// RemoveOrphan drops an index entry whose record does not exist, if nobody changed it meanwhile.
+func (s *Store) RemoveOrphan(ctx context.Context, cell string, o Open) error {
+	return translate(s.kv.Delete(ctx, openKey(cell, o.Key), o.revision))
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,157 @@
+// Package membership knows which entries are alive and which of them owns a cell. It agrees on nothing: two
+// entries that see different members may both take themselves for the owner, and the agents arbitrate.
+package membership
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"masticcart.example/masticcart/internal/protocol"
+)
+
+// Peer is another entry as it last reported.
+type Peer struct {
+	State protocol.GossipArgs
+	Seen  time.Time
+}
+
+// Table holds the peers of one entry. It is safe for concurrent use.
+type Table struct {
+	mu    sync.RWMutex
+	self  protocol.GossipArgs
+	peers map[string]Peer
+	known map[string]time.Time // addresses worth dialling, with the time they were last mentioned
+}
+
+// forgetAfter is how long an address that nobody mentions any more is still dialled.
+const forgetAfter = time.Minute
+
+// NewTable returns the table of an entry that knows only itself.
+func NewTable(self protocol.GossipArgs) *Table {
+	return &Table{self: self, peers: make(map[string]Peer), known: make(map[string]time.Time)}
+}
+
+// SetSelf updates what this entry reports of itself.
+func (t *Table) SetSelf(f func(*protocol.GossipArgs)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(&t.self)
+}
+
+// Self returns the message for the next round of gossip.
+func (t *Table) Self(now time.Time) protocol.GossipArgs {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := t.self
+	for _, p := range t.peers {
+		if t.alive(p, now) {
+			out.Peers = append(out.Peers, p.State.Address)
+		}
+	}
+	sort.Strings(out.Peers)
+	return out
+}
+
+// Observe records a message from a peer.
+func (t *Table) Observe(now time.Time, g protocol.GossipArgs) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g.Entry == t.self.Entry {
+		return
+	}
+	t.peers[g.Entry] = Peer{State: g, Seen: now}
+	t.known[g.Address] = now
+	for _, a := range g.Peers {
+		t.know(now, a)
+	}
+}
+
+// Know adds addresses from the platform's registrations.
+func (t *Table) Know(now time.Time, addresses []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range addresses {
+		t.know(now, a)
+	}
+}
+
+func (t *Table) know(now time.Time, address string) {
+	if address != t.self.Address {
+		t.known[address] = now
+	}
+}
+
+// Dial returns the addresses to gossip with, and forgets those that nobody mentions any more.
+func (t *Table) Dial(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for a, mentioned := range t.known {
+		if now.Sub(mentioned) > forgetAfter {
+			delete(t.known, a)
+			continue
+		}
+		out = append(out, a)
+	}
+	for id, p := range t.peers {
+		if now.Sub(p.Seen) > forgetAfter {
+			delete(t.peers, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (t *Table) alive(p Peer, now time.Time) bool { return now.Sub(p.Seen) < protocol.PeerTimeout }
+
+// Alive returns the peers that reported within PeerTimeout, sorted by id.
+func (t *Table) Alive(now time.Time) []Peer {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []Peer
+	for _, p := range t.peers {
+		if t.alive(p, now) {
+			out = append(out, p)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].State.Entry < out[j].State.Entry })
+	return out
+}
+
+// Order returns the live entries of a cell in rendezvous order, this one included if it belongs there. The
+// first is the cell's owner. Leaving entries come last, so that ownership moves before they stop.
+func (t *Table) Order(cell string, now time.Time) []protocol.GossipArgs {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []protocol.GossipArgs
+	if t.self.Cell == cell {
+		out = append(out, t.self)
+	}
+	for _, p := range t.peers {
+		if p.State.Cell == cell && t.alive(p, now) {
+			out = append(out, p.State)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Leaving != out[j].Leaving {
+			return out[j].Leaving
+		}
+		a, b := weight(cell, out[i].Entry), weight(cell, out[j].Entry)
+		if a != b {
+			return a > b
+		}
+		return out[i].Entry < out[j].Entry
+	})
+	return out
+}
+
+func weight(cell, entry string) uint64 { return xxhash.Sum64String(cell + "\x00" + entry) }
+
+// Owner reports whether this entry is the first in its own cell's order.
+func (t *Table) Owner(now time.Time) bool {
+	order := t.Order(t.self.Cell, now)
+	return len(order) > 0 && order[0].Entry == t.self.Entry
+}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -59,6 +59,8 @@
 		return fmt.Errorf("kind %q: want 1 to 128 letters, digits, '.', '_' or '-'", s.Kind)
 	case s.RunTime < 0 || s.RunTime > MaxRunTime:
 		return fmt.Errorf("run time %s: want 0 to %s", s.RunTime, MaxRunTime)
+	case s.Preemptible && !s.Idempotent:
+		return fmt.Errorf("preemptible: work that is not idempotent cannot be stopped and started again")
 	case s.Shape.Slots > 0 && !ValidName(s.Service):
 		return fmt.Errorf("service %q: a job on slots needs the name of its service", s.Service)
 	}
@@ -111,15 +113,18 @@
 	// Attempt counts claims. While accepted it is the number of the last claimed attempt.
 	Attempt int      `json:"attempt"`
 	Members []Member `json:"members,omitempty"`
-	// Ran is true once an attempt may have started; it is cleared only by proof of the contrary.
-	Ran             bool      `json:"ran"`
-	CancelRequested bool      `json:"cancel_requested,omitempty"`
-	FailedOn        []string  `json:"failed_on,omitempty"` // workers on which an attempt failed
-	Outcome         *Outcome  `json:"outcome,omitempty"`
-	Nonce           string    `json:"nonce"` // identifies the writer of this version of the record
-	Submitted       time.Time `json:"submitted"`
-	Claimed         time.Time `json:"claimed,omitzero"`
-	Finished        time.Time `json:"finished,omitzero"`
+	// Ran is true if an earlier attempt may have run. A claimed attempt may have run as well.
+	Ran             bool     `json:"ran"`
+	CancelRequested bool     `json:"cancel_requested,omitempty"`
+	FailedOn        []string `json:"failed_on,omitempty"` // workers on which an attempt failed
+	// Checkpoint is what the last preempted attempt saved.
+	Checkpoint json.RawMessage `json:"checkpoint,omitempty"`
+	Outcome    *Outcome        `json:"outcome,omitempty"`
+	// Nonce identifies the write of this version, so that its writer recognizes it after a lost answer.
+	Nonce     string    `json:"nonce"`
+	Submitted time.Time `json:"submitted"`
+	Claimed   time.Time `json:"claimed,omitzero"`
+	Finished  time.Time `json:"finished,omitzero"`
 	// Guaranteed is set on a claim that used the team's guarantee.
 	Guaranteed bool `json:"guaranteed,omitempty"`
 }
--- /dev/null
+++ b/internal/placement/property_test.go
@@ -0,0 +1,278 @@
+package placement
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"masticcart.example/masticcart/internal/model"
+)
+
+var testNow = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+var testKinds = []model.Rule{
+	{Kind: "check", Class: model.ClassUrgent, Priority: 1},
+	{Kind: "fit", Class: model.ClassNormal, Priority: 10, MaxWait: time.Hour},
+	{Kind: "retrace", Class: model.ClassDeferrable, Priority: 50, MaxWait: 2 * time.Hour},
+}
+
+func drawShape(t *rapid.T) model.Shape {
+	adjacency := rapid.SampledFrom([]model.Adjacency{model.AdjacentWorker, model.AdjacentRack, model.AdjacentDatacenter}).Draw(t, "adjacency")
+	limit := 8
+	if adjacency != model.AdjacentWorker {
+		limit = 24
+	}
+	return model.Shape{Accelerators: rapid.IntRange(1, limit).Draw(t, "accelerators"), Adjacency: adjacency}
+}
+
+func drawSpec(t *rapid.T, id string) model.JobSpec {
+	return model.JobSpec{
+		Key:         model.JobKey{Team: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"), ID: id},
+		Kind:        rapid.SampledFrom([]string{"check", "fit", "retrace", "other"}).Draw(t, "kind"),
+		Shape:       drawShape(t),
+		Preemptible: rapid.Bool().Draw(t, "preemptible"),
+	}
+}
+
+// drawSnapshot builds a cell whose running jobs were placed by adjacency, in a random mix of states.
+func drawSnapshot(t *rapid.T) *Snapshot {
+	s := &Snapshot{Now: testNow, Cell: "riga", Config: &model.Config{Rules: testKinds,
+		Weights: model.Weights{CompletionTime: rapid.Float64Range(0, 1).Draw(t, "wc"), Fragmentation: rapid.Float64Range(0, 1).Draw(t, "wf")},
+		Teams:   []model.Team{{Name: "a"}, {Name: "b", MaxAccelerators: rapid.IntRange(0, 40).Draw(t, "quota")}, {Name: "c"}}}}
+	for i := range rapid.IntRange(1, 9).Draw(t, "workers") {
+		units := rapid.SampledFrom([]int{2, 8}).Draw(t, "units")
+		s.Workers = append(s.Workers, Upstream{ID: fmt.Sprintf("w%d", i), Incarnation: fmt.Sprintf("i%d", i),
+			Rack: fmt.Sprintf("r%d", i/3), Units: units, Free: units, Unusable: rapid.IntRange(0, 9).Draw(t, "unusable") == 0})
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "guarantees") {
+		s.Config.Guarantees = append(s.Config.Guarantees, model.Guarantee{Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "holder"),
+			Cell: "riga", Shape: drawShape(t), Count: rapid.IntRange(1, 2).Draw(t, "count")})
+	}
+	for i := range rapid.IntRange(0, 12).Draw(t, "running") {
+		drawRunning(t, s, fmt.Sprintf("run%d", i))
+	}
+	for i := range rapid.IntRange(0, 10).Draw(t, "waiting") {
+		w := Waiting{Spec: drawSpec(t, fmt.Sprintf("wait%d", i)), Submitted: testNow.Add(-rapid.SampledFrom([]time.Duration{0, time.Minute, 3 * time.Hour}).Draw(t, "waited")),
+			Expected: rapid.SampledFrom([]time.Duration{0, time.Second, 5 * time.Hour}).Draw(t, "expected")}
+		if rapid.IntRange(0, 4).Draw(t, "failed") == 0 {
+			w.FailedOn = []string{"w0"}
+		}
+		s.Waiting = append(s.Waiting, w)
+	}
+	return s
+}
+
+func drawRunning(t *rapid.T, s *Snapshot, id string) {
+	r := Running{Spec: drawSpec(t, id), Since: testNow.Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Second),
+		Guaranteed: rapid.IntRange(0, 3).Draw(t, "guaranteed") == 0, Stopping: rapid.IntRange(0, 5).Draw(t, "stopping") == 0,
+		Expected: time.Duration(rapid.IntRange(0, 9000).Draw(t, "expected")) * time.Second}
+	f, avail := newFleet(s.Workers), make([]int, len(s.Workers))
+	for i := range avail {
+		avail[i] = s.Workers[i].Free
+	}
+	found, ok := choose(newBlockIndex(f, avail), r.Spec.Shape, model.Weights{}, rapid.Bool().Draw(t, "packed"))
+	if !ok {
+		return
+	}
+	for _, a := range found.allocs {
+		s.Workers[a.worker].Free -= a.units
+		r.Members = append(r.Members, model.Member{Agent: s.Workers[a.worker].ID, Incarnation: s.Workers[a.worker].Incarnation, Units: a.units})
+	}
+	s.Running = append(s.Running, r)
+}
+
+// apply returns the snapshot after a plan, with preempted jobs stopping.
+func apply(s *Snapshot, p *Plan) *Snapshot {
+	out := *s
+	out.Workers = append([]Upstream(nil), s.Workers...)
+	out.Running = append([]Running(nil), s.Running...)
+	for _, v := range p.Preempt {
+		for i := range out.Running {
+			if out.Running[i].Spec.Key == v.Victim {
+				out.Running[i].Stopping = true
+			}
+		}
+	}
+	for _, pl := range p.Place {
+		for i := range out.Workers {
+			for _, m := range pl.Members {
+				if m.Agent == out.Workers[i].ID {
+					out.Workers[i].Free -= m.Units
+				}
+			}
+		}
+		out.Running = append(out.Running, Running{Spec: findWaiting(s, pl.Job).Spec, Members: pl.Members, Since: s.Now, Guaranteed: pl.Guaranteed})
+	}
+	return &out
+}
+
+func findWaiting(s *Snapshot, key model.JobKey) *Waiting {
+	for i := range s.Waiting {
+		if s.Waiting[i].Spec.Key == key {
+			return &s.Waiting[i]
+		}
+	}
+	return nil
+}
+
+// TestPlanProperties guards against plans that an agent would reject, that break a guarantee or that depend on
+// anything but the snapshot.
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		before, _ := json.Marshal(s)
+		plan := New(Options{}).Plan(s)
+		if again := New(Options{}).Plan(s); !reflect.DeepEqual(plan, again) {
+			t.Fatalf("two plans differ:\n%+v\n%+v", plan, again)
+		}
+		if after, _ := json.Marshal(s); string(before) != string(after) {
+			t.Fatal("the snapshot was modified")
+		}
+		checkPlan(t, s, plan)
+		if CheckReclaimable(s) == nil {
+			if err := CheckReclaimable(apply(s, plan)); err != nil {
+				t.Fatalf("the plan breaks a guarantee: %v\n%+v", err, plan)
+			}
+		}
+	})
+}
+
+func checkPlan(t *rapid.T, s *Snapshot, plan *Plan) {
+	used, decided := map[string]int{}, map[model.JobKey]int{}
+	workers := map[string]Upstream{}
+	for _, w := range s.Workers {
+		workers[w.ID] = w
+	}
+	for _, p := range plan.Place {
+		decided[p.Job]++
+		spec := findWaiting(s, p.Job).Spec
+		units, places := 0, map[string]bool{}
+		for _, m := range p.Members {
+			w := workers[m.Agent]
+			used[m.Agent] += m.Units
+			units += m.Units
+			if w.Unusable || m.Units <= 0 || used[m.Agent] > w.Free || m.Incarnation != w.Incarnation {
+				t.Fatalf("member %+v on worker %+v, %d used by the plan", m, w, used[m.Agent])
+			}
+			places[map[model.Adjacency]string{model.AdjacentWorker: w.ID, model.AdjacentRack: w.Rack}[spec.Shape.Adjacency]] = true
+		}
+		if units != spec.Shape.Accelerators || len(places) != 1 {
+			t.Fatalf("%s placed as %+v", spec.Shape, p.Members)
+		}
+	}
+	for _, v := range plan.Preempt {
+		for _, r := range s.Running {
+			if r.Spec.Key == v.Victim && (r.Guaranteed || !r.Spec.Preemptible || r.Stopping) {
+				t.Fatalf("preempted %+v", r)
+			}
+		}
+	}
+	for _, r := range plan.Refuse {
+		decided[r.Job]++
+	}
+	for _, b := range plan.Blocked {
+		decided[b.Job]++
+		if b.Reason == "" || b.WouldChange == "" {
+			t.Fatalf("no reason: %+v", b)
+		}
+	}
+	for _, w := range s.Waiting {
+		if decided[w.Spec.Key] != 1 {
+			t.Fatalf("job %s has %d decisions", w.Spec.Key, decided[w.Spec.Key])
+		}
+	}
+}
+
+// TestLoneJobIsPlaced guards against rules that keep a job out of a cell that is idle.
+func TestLoneJobIsPlaced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		spec := drawSpec(t, "lone")
+		s.Running, s.Waiting = nil, []Waiting{{Spec: spec, Submitted: testNow, FailedOn: []string{"w0"}}}
+		if !spec.Preemptible {
+			s.Config.Guarantees = nil // their room is not open to work that cannot be stopped
+		}
+		for i := range s.Workers {
+			s.Workers[i].Free = s.Workers[i].Units
+		}
+		st := newState(s, Options{})
+		fits := st.fitsIdle(spec.Shape, nil)
+		if q := s.Config.Team(spec.Key.Team).MaxAccelerators; q > 0 && spec.Shape.Accelerators > q {
+			fits = false
+		}
+		if plan := New(Options{}).Plan(s); fits != (len(plan.Place) == 1) {
+			t.Fatalf("fits %v, plan %+v", fits, plan)
+		}
+	})
+}
+
+// TestClaimIsServedOnceVictimsStop guards against a claim whose room is given to others: with every borrowed job
+// stopped as planned, a claim that the guarantees cover starts, whatever urgent work arrives.
+func TestClaimIsServedOnceVictimsStop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		s.Config.Teams[1].MaxAccelerators = 0
+		unmet := UnmetGuarantees(s)
+		if len(unmet) == 0 || CheckReclaimable(s) != nil {
+			return
+		}
+		g := rapid.SampledFrom(unmet).Draw(t, "claimed")
+		claim := model.JobSpec{Key: model.JobKey{Team: g.Team, ID: "claim"}, Kind: "retrace", Shape: g.Shape}
+		s.Waiting = []Waiting{{Spec: claim, Submitted: testNow}}
+		for i := range 10 {
+			urgent := model.JobSpec{Key: model.JobKey{Team: "c", ID: fmt.Sprintf("urgent%d", i)}, Kind: "check", Preemptible: i%2 == 0,
+				Shape: model.Shape{Accelerators: 1 + i%2, Adjacency: model.AdjacentWorker}}
+			s.Waiting = append(s.Waiting, Waiting{Spec: urgent, Submitted: testNow})
+		}
+		for range 2 {
+			plan := New(Options{}).Plan(s)
+			for _, p := range plan.Place {
+				if p.Job == claim.Key && p.Guaranteed {
+					return
+				}
+			}
+			s = stopAll(apply(s, plan), plan)
+		}
+		t.Fatalf("the claim on %+v did not start", g)
+	})
+}
+
+// stopAll lets every stopping job end, and removes the placed jobs from the queue.
+func stopAll(s *Snapshot, plan *Plan) *Snapshot {
+	var running []Running
+	for _, r := range s.Running {
+		if !r.Stopping {
+			running = append(running, r)
+			continue
+		}
+		for i := range s.Workers {
+			for _, m := range r.Members {
+				if m.Agent == s.Workers[i].ID {
+					s.Workers[i].Free += m.Units
+				}
+			}
+		}
+	}
+	s.Running = running
+	var waiting []Waiting
+	for _, w := range s.Waiting {
+		if !placed(plan, w.Spec.Key) {
+			waiting = append(waiting, w)
+		}
+	}
+	s.Waiting = waiting
+	return s
+}
+
+func placed(p *Plan, key model.JobKey) bool {
+	for _, pl := range p.Place {
+		if pl.Job == key {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placement/reserve.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"masticcart.example/masticcart/internal/model"
+)
+
+// reservation keeps room for the first gang that does not fit: a worker, a rack or, for gangs of the data
+// centre, a number of units anywhere.
+type reservation struct {
+	job       model.JobKey
+	adjacency model.Adjacency
+	block     int
+	need      int
+	starts    time.Duration // from now until enough units are expected to be free
+	spare     int           // units that will be free beside the gang at that time
+	lifted    bool          // while a backfilling job is placed
+}
+
+// hides reports whether the reservation closes a worker.
+func (r *reservation) hides(f *fleet, w int) bool {
+	return r != nil && !r.lifted && r.adjacency != model.AdjacentDatacenter && f.blockOf(w, r.adjacency) == r.block
+}
+
+// reserve is the reservation stage for a gang that does not fit: it closes the block in which enough units are
+// expected to be free first. It returns false if the gang cannot be expected to fit anywhere.
+func (st *state) reserve(c *candidate, u usage) bool {
+	if st.opts.NoReservation || st.reserved != nil || c.Spec.Shape.Accelerators < 2 {
+		return false
+	}
+	var releases []release
+	for i := range st.s.Running {
+		r := &st.s.Running[i]
+		if v := st.victimOf[r]; v != nil && v.stopped {
+			continue
+		}
+		if !r.Stopping && r.Spec.Shape.UsesAccelerators() {
+			releases = append(releases, release{r, st.remaining(r)})
+		}
+	}
+	sortReleases(releases)
+	fl := st.newFilling(c.Spec.Shape, u.isFirm(), releases)
+	found, starts, ok := fl.earliest()
+	if !ok {
+		return false
+	}
+	st.reserved = &reservation{job: c.Spec.Key, adjacency: c.Spec.Shape.Adjacency, block: found.block,
+		need: c.Spec.Shape.Accelerators, starts: starts, spare: found.sum - c.Spec.Shape.Accelerators}
+	if c.Spec.Shape.Adjacency != model.AdjacentDatacenter {
+		for _, w := range st.f.blockWorkers(found.block, c.Spec.Shape.Adjacency) {
+			st.refresh(w)
+		}
+	}
+	return true
+}
+
+// remaining estimates how long a running job will still run. A job that has passed its expected time is taken
+// to be half way.
+func (st *state) remaining(r *Running) time.Duration {
+	elapsed := max(st.s.Now.Sub(r.Since), 0)
+	left := expected(r.Expected) - elapsed
+	if left <= 0 {
+		return max(elapsed, time.Second)
+	}
+	return left
+}
+
+// permitBackfill decides whether a job may take the units found although a gang has a reservation for the data
+// centre: when it is expected to end before the gang starts, or when it fits beside the gang.
+func (st *state) permitBackfill(c *candidate) bool {
+	r := st.reserved
+	if r == nil || r.adjacency != model.AdjacentDatacenter {
+		return true
+	}
+	return st.backfills(c, c.Spec.Shape.Accelerators)
+}
+
+// backfills reports whether a job may use units of the reserved block, and books units that stay in use.
+func (st *state) backfills(c *candidate, units int) bool {
+	r := st.reserved
+	if st.opts.NoBackfill {
+		return false
+	}
+	if expected(c.Expected) <= r.starts {
+		return true
+	}
+	if units > r.spare {
+		return false
+	}
+	r.spare -= units
+	return true
+}
+
+// chooseBackfill looks for room that includes a reserved worker or rack.
+func (st *state) chooseBackfill(c *candidate, u usage) (choice, bool) {
+	r := st.reserved
+	if r == nil || r.adjacency == model.AdjacentDatacenter || st.opts.NoBackfill ||
+		expected(c.Expected) > r.starts && r.spare == 0 {
+		return choice{}, false
+	}
+	st.lift(true)
+	defer st.lift(false)
+	found, ok := st.choose(u, c.Spec.Shape)
+	if !ok {
+		return choice{}, false
+	}
+	inside := 0
+	for _, a := range found.allocs {
+		if st.f.blockOf(a.worker, r.adjacency) == r.block {
+			inside += a.units
+		}
+	}
+	return found, st.backfills(c, inside)
+}
+
+func (st *state) lift(lifted bool) {
+	st.reserved.lifted = lifted
+	for _, w := range st.f.blockWorkers(st.reserved.block, st.reserved.adjacency) {
+		st.refresh(w)
+	}
+}
+
+func (r *reservation) String() string {
+	return fmt.Sprintf("%s holds a reservation for %d accelerators in one %s, expected to start in %s",
+		r.job, r.need, r.adjacency, r.starts.Round(time.Second))
+}
--- /dev/null
+++ b/internal/platform/memstore/memstore.go
@@ -0,0 +1,185 @@
+// Package memstore is an in-memory platform.Store with fault injection. It is the basis of the stand-in server and
+// of tests with a virtual clock.
+package memstore
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"masticcart.example/masticcart/internal/platform"
+)
+
+// Store is an in-memory platform.Store. It runs no goroutine: leases lapse on the next call, or on Expire.
+type Store struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	revision platform.Revision
+	items    map[string]*item
+	keys     []string // sorted keys of items
+	leases   map[platform.LeaseID]*lease
+	leaseSeq platform.LeaseID
+	history  history
+	changed  chan struct{} // closed and replaced whenever waiting watches have to look again
+	faults   Faults
+	random   *rand.Rand
+	stats    Stats
+}
+
+var _ platform.Store = (*Store)(nil)
+
+type item struct {
+	value    []byte
+	revision platform.Revision
+	lease    platform.LeaseID
+}
+
+// New returns an empty store that takes the time from now.
+func New(now func() time.Time) *Store {
+	return &Store{
+		now:     now,
+		items:   map[string]*item{},
+		leases:  map[platform.LeaseID]*lease{},
+		changed: make(chan struct{}),
+		random:  newRandom(1),
+		stats:   Stats{Calls: map[Call]int64{}},
+	}
+}
+
+// Get returns the entry of a key, or platform.ErrNotFound.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := s.enter(ctx, CallGet); err != nil {
+		return platform.Entry{}, err
+	}
+	defer s.mu.Unlock()
+	it, ok := s.items[key]
+	if !ok {
+		return platform.Entry{}, fmt.Errorf("get %q: %w", key, platform.ErrNotFound)
+	}
+	return entry(key, it), nil
+}
+
+// Range returns at most limit entries under the prefix after the given key. A limit below 1 means no limit.
+func (s *Store) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Entry, platform.Revision, error) {
+	if err := s.enter(ctx, CallRange); err != nil {
+		return nil, 0, err
+	}
+	defer s.mu.Unlock()
+	var entries []platform.Entry
+	first, found := slices.BinarySearch(s.keys, max(prefix, after))
+	if found && s.keys[first] == after {
+		first++
+	}
+	for _, key := range s.keys[first:] {
+		if !strings.HasPrefix(key, prefix) || (limit > 0 && len(entries) == limit) {
+			break
+		}
+		entries = append(entries, entry(key, s.items[key]))
+	}
+	return entries, s.revision, nil
+}
+
+// Put writes a value if the key has the expected revision.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect platform.Revision, id platform.LeaseID) (
+	platform.Revision, error) {
+	if len(value) > platform.MaxValueBytes {
+		return 0, fmt.Errorf("put %q of %d bytes: %w", key, len(value), platform.ErrTooLarge)
+	}
+	if err := s.enter(ctx, CallPut); err != nil {
+		return 0, err
+	}
+	defer s.mu.Unlock()
+	revision, err := s.put(key, value, expect, id)
+	if s.loseAnswer() {
+		return 0, fmt.Errorf("put %q: %w", key, platform.ErrUnknownOutcome)
+	}
+	return revision, err
+}
+
+// Delete removes the key if it has the expected revision.
+func (s *Store) Delete(ctx context.Context, key string, expect platform.Revision) error {
+	if err := s.enter(ctx, CallDelete); err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	err := s.delete(key, expect)
+	if s.loseAnswer() {
+		return fmt.Errorf("delete %q: %w", key, platform.ErrUnknownOutcome)
+	}
+	return err
+}
+
+func (s *Store) put(key string, value []byte, expect platform.Revision, id platform.LeaseID) (platform.Revision, error) {
+	it, exists := s.items[key]
+	if exists && it.revision != expect || !exists && expect != 0 {
+		return 0, fmt.Errorf("put %q at revision %d: %w", key, expect, platform.ErrConflict)
+	}
+	var l *lease
+	if id != 0 {
+		if l = s.leases[id]; l == nil {
+			return 0, fmt.Errorf("put %q with lease %d: %w", key, id, platform.ErrLeaseNotFound)
+		}
+	}
+	if exists {
+		s.detach(key, it)
+	} else {
+		it = &item{}
+		s.items[key] = it
+		at, _ := slices.BinarySearch(s.keys, key)
+		s.keys = slices.Insert(s.keys, at, key)
+	}
+	if l != nil {
+		l.keys[key] = struct{}{}
+	}
+	s.revision++
+	it.value, it.revision, it.lease = bytes.Clone(value), s.revision, id
+	s.history.add(platform.Event{Entry: platform.Entry{Key: key, Value: it.value, Revision: it.revision}})
+	s.wake()
+	return it.revision, nil
+}
+
+func (s *Store) delete(key string, expect platform.Revision) error {
+	it, ok := s.items[key]
+	if !ok {
+		return fmt.Errorf("delete %q: %w", key, platform.ErrNotFound)
+	}
+	if it.revision != expect {
+		return fmt.Errorf("delete %q at revision %d: %w", key, expect, platform.ErrConflict)
+	}
+	s.remove(key, it)
+	return nil
+}
+
+// remove deletes a key that exists, as a write with its own revision.
+func (s *Store) remove(key string, it *item) {
+	s.detach(key, it)
+	delete(s.items, key)
+	if at, found := slices.BinarySearch(s.keys, key); found {
+		s.keys = slices.Delete(s.keys, at, at+1)
+	}
+	s.revision++
+	s.history.add(platform.Event{Entry: platform.Entry{Key: key, Revision: s.revision}, Deleted: true})
+	s.wake()
+}
+
+func (s *Store) detach(key string, it *item) {
+	if l := s.leases[it.lease]; l != nil {
+		delete(l.keys, key)
+	}
+}
+
+// wake makes waiting watches look again.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func entry(key string, it *item) platform.Entry {
+	return platform.Entry{Key: key, Value: bytes.Clone(it.value), Revision: it.revision}
+}
--- /dev/null
+++ b/internal/platform/memstore/watch.go
@@ -0,0 +1,109 @@
+package memstore
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"masticcart.example/masticcart/internal/platform"
+)
+
+// Bounds of the event history and of the answer to one watch. The bounds in bytes matter for values near
+// platform.MaxValueBytes.
+const (
+	HistoryEvents = 10_000
+	HistoryBytes  = 64 << 20
+	WatchEvents   = 1_000
+	WatchBytes    = 8 << 20
+)
+
+// minWatchTimer keeps a watch from spinning when a deadline is a fraction of a millisecond away.
+const minWatchTimer = time.Millisecond
+
+// history keeps the latest events, in revision order.
+type history struct {
+	events    []platform.Event
+	bytes     int
+	compacted platform.Revision // events up to this revision are gone
+}
+
+func (h *history) add(e platform.Event) {
+	h.events = append(h.events, e)
+	h.bytes += len(e.Value)
+	for len(h.events) > HistoryEvents || h.bytes > HistoryBytes {
+		oldest := h.events[0]
+		h.events[0] = platform.Event{} // lets the value be collected while the array is still in use
+		h.events = h.events[1:]
+		h.bytes -= len(oldest.Value)
+		h.compacted = oldest.Revision
+	}
+}
+
+// since returns events under the prefix after a revision, and whether it left some out for the bounds.
+func (h *history) since(prefix string, revision platform.Revision) (events []platform.Event, truncated bool) {
+	first := sort.Search(len(h.events), func(i int) bool { return h.events[i].Revision > revision })
+	size := 0
+	for _, e := range h.events[first:] {
+		if !strings.HasPrefix(e.Key, prefix) {
+			continue
+		}
+		if size += len(e.Value); len(events) == WatchEvents || (size > WatchBytes && len(events) > 0) {
+			return events, true
+		}
+		e.Value = bytes.Clone(e.Value)
+		events = append(events, e)
+	}
+	return events, false
+}
+
+// Watch waits for changes under the prefix after revision since. A revision that the store has not reached yet is
+// reported as compacted, since the caller's view comes from other data.
+func (s *Store) Watch(ctx context.Context, prefix string, since platform.Revision, wait time.Duration) (
+	[]platform.Event, platform.Revision, error) {
+	if err := s.enter(ctx, CallWatch); err != nil {
+		return nil, 0, err
+	}
+	defer s.mu.Unlock()
+	deadline := s.now().Add(wait)
+	for {
+		if since < s.history.compacted || since > s.revision {
+			return nil, 0, fmt.Errorf("watch %q since %d: %w", prefix, since, platform.ErrCompacted)
+		}
+		events, truncated := s.history.since(prefix, since)
+		if truncated {
+			return events, events[len(events)-1].Revision, nil
+		}
+		if len(events) > 0 || !deadline.After(s.now()) {
+			return events, s.revision, nil
+		}
+		since = s.revision
+		if err := s.waitForChange(ctx, deadline); err != nil {
+			return nil, 0, fmt.Errorf("watch %q: %w", prefix, err)
+		}
+	}
+}
+
+// waitForChange gives up the mutex until something changed, a lease lapses, the deadline passes or ctx ends.
+func (s *Store) waitForChange(ctx context.Context, deadline time.Time) error {
+	if next, ok := s.nextDeadline(); ok && next.Before(deadline) {
+		deadline = next
+	}
+	timer := time.NewTimer(max(deadline.Sub(s.now()), minWatchTimer))
+	defer timer.Stop()
+	changed := s.changed
+	s.mu.Unlock()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	if err := s.usable(ctx); err != nil {
+		return err
+	}
+	s.expire()
+	return nil
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -38,6 +38,8 @@
 	LeaveGrace        = 1 * time.Second
 	DrainDelay        = 1 * time.Second
 	ConfigBound       = 10 * time.Second
+	// MaxPayloadBytes bounds the payload and the output of one short request.
+	MaxPayloadBytes = 1 << 20
 	// SessionsPerAgent is the number of entries that an agent reports to: the owner and two successors.
 	SessionsPerAgent = 3
 )
@@ -74,10 +76,16 @@
 	TaskDone     TaskPhase = "done"
 	TaskFailed   TaskPhase = "failed"
 	TaskStopped  TaskPhase = "stopped"
+	// TaskLost is a task whose end the agent could not observe; it may have run to its end.
+	TaskLost TaskPhase = "lost"
+	// TaskRemoved reports a task that the agent no longer knows: a hold that ended, or a recorded result.
+	TaskRemoved TaskPhase = "removed"
 )
 
 // Terminal reports whether the task has ended.
-func (p TaskPhase) Terminal() bool { return p == TaskDone || p == TaskFailed || p == TaskStopped }
+func (p TaskPhase) Terminal() bool {
+	return p == TaskDone || p == TaskFailed || p == TaskStopped || p == TaskLost
+}
 
 // TaskStatus is what an agent knows about its share of an attempt. Members lists the whole gang, so that a
 // new owner can supervise it without the platform.
@@ -159,6 +167,8 @@
 	Units       int            `json:"units"`
 	Spec        model.JobSpec  `json:"spec"`
 	Members     []model.Member `json:"members"`
+	// Checkpoint is what an earlier attempt saved when it was preempted.
+	Checkpoint json.RawMessage `json:"checkpoint,omitempty"`
 }
 
 // HoldReply grants or refuses a hold.
@@ -166,6 +176,8 @@
 	OK     bool   `json:"ok"`
 	Reason string `json:"reason,omitempty"`
 	Free   int    `json:"free"`
+	// Fenced is the highest fenced attempt of the job at this agent. The next attempt must be above it.
+	Fenced int `json:"fenced,omitempty"`
 }
 
 // StartArgs starts a held attempt. It is sent only after the decision is recorded.
--- /dev/null
+++ b/internal/query/query_test.go
@@ -0,0 +1,262 @@
+package query
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"masticcart.example/masticcart/internal/config"
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/protocol"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func job(team, id string, attempt, accelerators int) model.Job {
+	return model.Job{
+		Spec: model.JobSpec{
+			Key: model.JobKey{Team: team, ID: id}, Kind: "fit", Idempotent: true,
+			Shape: model.Shape{Accelerators: accelerators, Adjacency: model.AdjacentRack},
+		},
+		Cell: "riga-1", State: model.JobAccepted, Attempt: attempt, Submitted: now.Add(-time.Hour),
+		Members: []model.Member{{Agent: "w1", Units: accelerators}},
+	}
+}
+
+func testView() *View {
+	c := &model.Config{
+		Teams:      []model.Team{{Name: "pramen", MaxAccelerators: 16}, {Name: "zrkadlo"}},
+		Guarantees: []model.Guarantee{{Team: "zrkadlo", Cell: "riga-1", Shape: job("", "", 0, 8).Spec.Shape, Count: 2}},
+		Rules:      []model.Rule{{Kind: "fit", Class: model.ClassUrgent, Priority: 1, CrossRegionPrice: -1}},
+	}
+	lost := job("zrkadlo", "b", 1, 4)
+	lost.Outcome, lost.Finished = &model.Outcome{Result: model.ResultFailed, Reason: "out of\x1b[2J memory"}, now
+	worker := protocol.WorkerView{Alive: true, Free: 2, Identity: protocol.Identity{
+		Agent: "w1", Kind: protocol.KindWorker, Region: "riga", Cell: "riga-1", Rack: "r1", Units: 8}}
+	old := protocol.CellReply{Entry: "e1", Cell: "riga-1", Owner: true, Jobs: []protocol.JobView{
+		{Job: job("zrkadlo", "a", 1, 4), Phase: "waiting"}, {Job: job("zrkadlo", "b", 1, 4), Phase: "running"}}}
+	owner := protocol.CellReply{Entry: "e2", Cell: "riga-1", Owner: true, Workers: []protocol.WorkerView{worker},
+		Jobs: []protocol.JobView{
+			{Job: job("zrkadlo", "a", 2, 4), Phase: "running"},
+			{Job: job("pramen", "c", 0, 16), Phase: "waiting", Reason: "zrkadlo/a holds w1", WouldChange: `team "zrkadlo" ends`},
+			{Job: job("zrkadlo", "d", 0, 64), Phase: "waiting", Reason: "no block"},
+		}}
+	v := NewView(now, c, []protocol.CellReply{old, owner}, []model.Job{lost})
+	v.Unmet = []UnmetGuarantee{{Guarantee: c.Guarantees[0], Missing: 1}}
+	return v
+}
+
+func run(t *testing.T, text string, v *View, viewer Viewer) (*Result, error) {
+	t.Helper()
+	q, err := Parse(text)
+	if err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+	return Evaluate(q, v, viewer)
+}
+
+// TestEvaluate guards against wrong filters, orders and limits, and against stale reports of a second owner or of a
+// job that has finished meanwhile.
+func TestEvaluate(t *testing.T) {
+	for text, want := range map[string]string{
+		"show jobs":                                   "pramen/c,zrkadlo/a,zrkadlo/b,zrkadlo/d",
+		"show jobs where state = running":             "zrkadlo/a",
+		"SHOW jobs WHERE state = failed":              "zrkadlo/b",
+		"show jobs where accelerators >= 16":          "pramen/c,zrkadlo/d",
+		"show jobs where age < 1h":                    "",
+		"show jobs where workers ~ w and attempt = 1": "zrkadlo/b",
+		"show jobs where idempotent = no":             "",
+		`show jobs where reason ~ "no block"`:         "zrkadlo/d",
+		"show jobs sort by accelerators desc limit 1": "zrkadlo/d",
+		"show jobs where state != waiting sort by id": "zrkadlo/a,zrkadlo/b",
+		"show rules where cross_region_price = never": "fit/urgent",
+		"show rules where cross_region_price > 1s":    "",
+		"show teams where unmet > 0":                  "zrkadlo/-",
+		"show workers where free <= 2":                "w1/riga",
+		"show entries limit 1":                        "e1/",
+		"config status":                               "e1/entry,e2/entry,w1/agent",
+	} {
+		r, err := run(t, text, testView(), Viewer{})
+		if err != nil {
+			t.Errorf("%s: %v", text, err)
+			continue
+		}
+		var got []string
+		for _, row := range r.Rows {
+			got = append(got, row[0].String()+"/"+row[1].String())
+		}
+		if strings.Join(got, ",") != want {
+			t.Errorf("%s: got %s, want %s", text, got, want)
+		}
+	}
+}
+
+// TestRendering guards against control characters that reach a terminal, and against a client that cannot read what
+// the server sends.
+func TestRendering(t *testing.T) {
+	r, _ := run(t, "show jobs", testView(), Viewer{})
+	var table, again bytes.Buffer
+	if err := r.WriteTable(&table); err != nil || strings.Contains(table.String(), "\x1b") {
+		t.Fatalf("%v, got %q", err, table.String())
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back Result
+	if err := json.Unmarshal(data, &back); err != nil {
+		t.Fatal(err)
+	}
+	if err := back.WriteTable(&again); err != nil || again.String() != table.String() {
+		t.Errorf("%v, got\n%s, want\n%s", err, again.String(), table.String())
+	}
+}
+
+// TestViewerIsolation guards against a team that learns of other teams' jobs: every answer must be the same as if
+// those jobs did not exist.
+func TestViewerIsolation(t *testing.T) {
+	full, own := testView(), testView()
+	own.Jobs, own.Finished = []protocol.JobView{full.Jobs[2]}, nil
+	if own.Jobs[0].Job.Spec.Key.Team != "pramen" {
+		t.Fatal("the test needs the job of pramen")
+	}
+	texts := []string{"explain job pramen/c", "explain job zrkadlo/a", "config status",
+		"show jobs where reason ~ zrkadlo", "show jobs where reason ~ another"}
+	for name := range tables {
+		texts = append(texts, "show "+name)
+	}
+	for _, text := range texts {
+		a, errA := run(t, text, full, Viewer{Team: "pramen"})
+		b, errB := run(t, text, own, Viewer{Team: "pramen"})
+		if !reflect.DeepEqual(a, b) || !reflect.DeepEqual(errA, errB) {
+			t.Errorf("%s: got %v (%v), without the other jobs %v (%v)", text, a, errA, b, errB)
+		}
+		if data, _ := json.Marshal(a); strings.Contains(string(data), "zrkadlo") {
+			t.Errorf("%s: shows the other team: %s", text, data)
+		}
+	}
+	if _, err := run(t, "explain job zrkadlo/a", full, Viewer{Team: "pramen"}); !errors.Is(err, ErrJobNotFound) {
+		t.Errorf("got %v", err)
+	}
+	if _, err := run(t, "show workers", full, Viewer{Team: "pramen"}); !errors.Is(err, ErrOperatorsOnly) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestParseErrors guards against errors that do not tell the place or what to write there.
+func TestParseErrors(t *testing.T) {
+	parse := func(text string) error { _, err := Parse(text); return err }
+	change := func(text string) error { _, err := ParseChange(text); return err }
+	for _, c := range []struct {
+		parse func(string) error
+		text  string
+		want  string
+	}{
+		{parse, "", `line 1, column 1: found the end of the text, expected "show" | "explain" | "config"`},
+		{parse, "show foo", `line 1, column 6: found "foo", expected "jobs" | "workers"`},
+		{parse, "show jobs\nwhere color = 1", `line 2, column 7: found "color", expected a field: team, id, state`},
+		{parse, "show jobs where state = lost", `column 25: found "lost", expected waiting | holding | running`},
+		{parse, "show jobs where attempt ~ 1", `expected a field that can be compared with ~; attempt allows = !=`},
+		{parse, "show jobs where age > soon", `column 23: found "soon", expected a duration`},
+		{parse, "show jobs limit -1", `column 17: found "-1", expected a whole number`},
+		{parse, "show jobs where team = a sort", `column 30: found the end of the text, expected "by"`},
+		{parse, "show jobs now", `column 11: found "now", expected "where" | "sort" | "limit" or the end`},
+		{parse, "explain job a", `column 13: found "a", expected a job as TEAM/ID`},
+		{parse, `show jobs where team = "a`, `column 24: found `},
+		{change, "create team a;\n  drop team b", `line 2, column 3: found "drop", expected "create" | "set" | "remove"`},
+		{change, "create team a foo", `found "foo", expected "token-hash" | "max-accelerators" | ";" or the end`},
+		{change, "set team a token-hash 12", `found "12", expected a SHA-256`},
+		{change, "set guarantee a in b 0 accelerators adjacent rack count 1", `found "0", expected 1 to 1024`},
+		{change, "set guarantee a in b 4 accelerators adjacent row count 1", `found "row", expected "worker" | "rack"`},
+		{change, "set weights completion-time 2 fragmentation 0", `column 29: found "2", expected a number from 0 to 1`},
+		{change, "set rule a class urgent priority 1 max-wait -3s", `found "-3s", expected a duration`},
+	} {
+		err := c.parse(c.text)
+		var p *ParseError
+		if !errors.As(err, &p) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: got %v, want %s", c.text, err, c.want)
+		}
+	}
+}
+
+// TestChange guards against commands that do something else than they say, and against checks of guarantees that
+// block changes which promise nothing more.
+func TestChange(t *testing.T) {
+	hash := strings.Repeat("AB", 32)
+	refuse := func(*model.Config) error { return errors.New("does not fit") }
+	set := "set guarantee a in riga-1 8 accelerators adjacent rack count "
+	c := &model.Config{}
+	for _, s := range []struct {
+		text  string
+		check CheckFunc
+		want  string // a part of the error
+	}{
+		{"create team a token-hash " + hash + " max-accelerators 64; " + set + "3", nil, ""},
+		{set + "4", refuse, "does not fit"},
+		{set + "2", refuse, ""},
+		{"create team b; create team a", nil, "line 1, column 16: team a exists already"},
+		{"remove team a", nil, `no team "a"`},
+		{set + "9", nil, "exceeds its max-accelerators 64"},
+		{"remove guarantee a in riga-1 8 accelerators adjacent worker", nil, "no such guarantee"},
+		{"set rule fit class urgent priority 1 max-wait 5s cross-region-price 10ms;", nil, ""},
+		{"set rule fit class normal priority 2", nil, ""},
+		{"set weights completion-time 0.25 fragmentation 1", nil, ""},
+		{"set team a max-accelerators 32", refuse, ""},
+	} {
+		change, err := ParseChange(s.text)
+		if err != nil {
+			t.Fatalf("%s: %v", s.text, err)
+		}
+		next := config.Clone(c)
+		switch err := change.Edit(s.check)(next); {
+		case s.want == "" && err != nil, s.want != "" && (err == nil || !strings.Contains(err.Error(), s.want)):
+			t.Errorf("%s: got %v, want %q", s.text, err, s.want)
+		case err == nil:
+			c = next
+		}
+	}
+	want := &model.Config{
+		Teams: []model.Team{{Name: "a", TokenHashes: []string{strings.ToLower(hash)}, MaxAccelerators: 32}},
+		Guarantees: []model.Guarantee{{
+			Team: "a", Cell: "riga-1", Shape: model.Shape{Accelerators: 8, Adjacency: model.AdjacentRack}, Count: 2,
+		}},
+		Rules:   []model.Rule{{Kind: "fit", Class: model.ClassNormal, Priority: 2, CrossRegionPrice: -1}},
+		Weights: model.Weights{CompletionTime: 0.25, Fragmentation: 1},
+	}
+	if !reflect.DeepEqual(c, want) {
+		t.Errorf("got %+v, want %+v", c, want)
+	}
+}
+
+// FuzzParse guards against panics on any text, in the parser and in what is done with its result.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{
+		"show jobs where state = waiting and age > 1h sort by age desc limit 3", "explain job a/b", "config status",
+		`show workers where jobs ~ "a\"b"`, "create team a token-hash x; remove team b",
+		"set guarantee a in b 8 accelerators adjacent rack count 2", "remove guarantee a in b",
+		"set rule k class urgent priority 1 max-wait 3s cross-region-price never", "set weights completion-time 1 fragmentation 0",
+		"create team a; set team a max-accelerators 9; remove team a; remove rule x;",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		var p *ParseError
+		if q, err := Parse(text); err == nil {
+			if r, err := Evaluate(q, testView(), Viewer{}); err == nil {
+				_ = r.WriteTable(&bytes.Buffer{})
+			}
+		} else if !errors.As(err, &p) || p.Line < 1 || p.Column < 1 {
+			t.Errorf("%q: %v", text, err)
+		}
+		if c, err := ParseChange(text); err == nil {
+			_ = c.Summary()
+			_ = c.Edit(nil)(&model.Config{})
+		} else if !errors.As(err, &p) || p.Line < 1 || p.Column < 1 {
+			t.Errorf("%q: %v", text, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/routing/metrics.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"masticcart.example/masticcart/internal/model"
+)
+
+// counter counts for the scope and keeps the total.
+type counter struct {
+	total int64
+	out   tally.Counter
+}
+
+func (c *counter) inc() {
+	c.total++
+	c.out.Inc(1)
+}
+
+// gauge reports a value when it changes.
+type gauge struct {
+	last int
+	out  tally.Gauge
+}
+
+func (g *gauge) set(n int) {
+	if n != g.last {
+		g.last = n
+		g.out.Update(float64(n))
+	}
+}
+
+type metrics struct {
+	requests, dispatches, forwards, refusals, errors, retries, retriesDenied counter
+	lateAnswers, wrongAnswers, evicted, seconds                              counter
+
+	queued     gauge
+	answerTime tally.Timer
+	outcomes   map[model.Result]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	s := scope.SubScope("routing")
+	count := func(name string) counter { return counter{out: s.Counter(name)} }
+	m := &metrics{
+		requests: count("requests"), dispatches: count("dispatches"), forwards: count("forwards"),
+		refusals: count("refusals"), errors: count("errors"), retries: count("retries"),
+		retriesDenied: count("retries_denied"), lateAnswers: count("late_answers"),
+		wrongAnswers: count("wrong_answers"), evicted: count("evicted"), seconds: count("second_attempts"),
+		queued: gauge{out: s.Gauge("queued")}, answerTime: s.Timer("answer_time"),
+		outcomes: map[model.Result]tally.Counter{},
+	}
+	for _, r := range []model.Result{
+		model.ResultDone, model.ResultFailed, model.ResultRefused, model.ResultCancelled, model.ResultUnknown,
+	} {
+		m.outcomes[r] = s.Tagged(map[string]string{"result": string(r)}).Counter("outcomes")
+	}
+	return m
+}
+
+func (m *metrics) outcome(r model.Result) {
+	if c := m.outcomes[r]; c != nil {
+		c.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,135 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const broken = `{
+  // a file with one fault per line
+  "role": "entry", "name": "has space", "region": "riga", "cell": "riga",
+  "log": {"verbosity": "high"},
+  "metrics": {"listen": "127.0.0.1:70000"},
+  "entry": {
+    "api_listen": "localhost:80",
+    "rpc_listen": 7000,
+    "peers": ["10.0.0.1:7000", "0.0.0.0:7000"],
+    "platform": {"addresses": [], "timeout": 500},
+    "read_header_timeout": "5 parsecs",
+    "max_queue": 0,
+    "bodies": 1,
+    "max_body_bytes": 1.5,
+    "bootstrap_operator_token_hash": "xyz",
+    "max_body_bytes": 4096,
+  },
+  "agent": null,
+}`
+
+// Guards against problems that are lost, reported one at a time, or placed at the wrong line.
+func TestEveryProblemIsReportedWithItsPosition(t *testing.T) {
+	_, err := Parse("f.jsonc", []byte(broken))
+	var got *Error
+	if !errors.As(err, &got) {
+		t.Fatalf("want *Error, got %v", err)
+	}
+	want := []string{
+		`f.jsonc:3:28: name: malformed name "has space"`,
+		`f.jsonc:4:24: log.verbosity: wrong type: want a whole number, got a string`,
+		`f.jsonc:5:25: metrics.listen: port out of range`,
+		`f.jsonc:7:19: entry.api_listen: malformed address "localhost:80": "localhost" is not an IP address`,
+		`f.jsonc:8:19: entry.rpc_listen: wrong type: want a string, got a number`,
+		`f.jsonc:9:32: entry.peers[1]: malformed address`,
+		`f.jsonc:10:31: entry.platform.addresses: missing: at least one`,
+		`f.jsonc:10:46: entry.platform.timeout: wrong unit: a duration needs a unit; write "500ms"`,
+		`f.jsonc:11:28: entry.read_header_timeout: wrong unit: "5 parsecs"`,
+		`f.jsonc:12:18: entry.max_queue: out of range`,
+		`f.jsonc:13:5: entry.bodies: unknown field`,
+		`f.jsonc:14:23: entry.max_body_bytes: wrong type`,
+		`f.jsonc:15:38: entry.bootstrap_operator_token_hash: malformed hash`,
+		`f.jsonc:16:5: entry.max_body_bytes: field is given twice`,
+		`f.jsonc:18:12: agent: wrong type: want an object, got null`,
+	}
+	for _, w := range want {
+		if !strings.Contains(err.Error(), w) {
+			t.Errorf("missing: %s", w)
+		}
+	}
+	// rpc_advertise has no value to default to when rpc_listen is wrong, which is one more problem.
+	if len(got.Problems) != len(want)+1 {
+		t.Errorf("%d problems, want %d:\n%v", len(got.Problems), len(want)+1, err)
+	}
+}
+
+// Guards against settings that pass for a role or kind that they are not meant for.
+func TestBlocksMustMatchTheRole(t *testing.T) {
+	head := `"name": "a", "region": "r", "cell": "c"`
+	worker := `"kind": "worker", "upstream_url": "http://10.0.0.1:80", "units": 8, "entries": ["10.0.0.2:1"]`
+	for content, want := range map[string]string{
+		`{"role": "boss", ` + head + `}`:                                             `1:10: role: unknown role "boss"`,
+		`{` + head + `}`:                                                             `1:1: role: missing`,
+		`{"role": "entry", ` + head + `}`:                                            `1:1: entry: missing`,
+		`{"role": "entry", ` + head + `, "agent": {` + worker + `}}`:                 `agent: not allowed with role "entry"`,
+		`{"role": "agent", ` + head + `, "agent": {` + worker + `}}`:                 `agent.rack: missing`,
+		`{"role": "agent", ` + head + `, "agent": {"service": "s", ` + worker + `}}`: `agent.service: not allowed`,
+		`{"role": "agent",, }`:                                                       `1:18: syntax: `,
+		`[]`:                                                                         `1:1: wrong type: want an object`,
+		`{"role": "agent", ` + head + `, "agent": {"rack": "r", ` + worker + `}, "tls": {"key": "k"}}`: `tls: certificate and key`,
+	} {
+		if _, err := Parse("f", []byte(content)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s:\n got %v\nwant %s", content, err, want)
+		}
+	}
+}
+
+// Guards against examples that do not load or that share a name within a deployment.
+func TestExamplesLoad(t *testing.T) {
+	for _, deployment := range []string{"baltoptika", "liptov"} {
+		files, err := filepath.Glob(filepath.Join("..", "..", "examples", deployment, "*.jsonc"))
+		if err != nil || len(files) < 8 {
+			t.Fatalf("%s: %d files, %v", deployment, len(files), err)
+		}
+		seen := map[string]string{}
+		for _, f := range files {
+			s, err := Load(f)
+			if err != nil {
+				t.Errorf("%v", err)
+				continue
+			}
+			if other := seen[s.Name]; other != "" {
+				t.Errorf("%s and %s share the name %s", f, other, s.Name)
+			}
+			seen[s.Name] = f
+			if r := s.Report(); !strings.Contains(r, "name = "+s.Name) || !strings.Contains(r, "no problems") {
+				t.Errorf("%s: report:\n%s", f, r)
+			}
+		}
+	}
+}
+
+// Guards against panics on malformed input and against settings that are returned without being valid.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(broken))
+	f.Add([]byte(`{"role":"agent","name":"a","region":"r","cell":"c","agent":{"kind":"worker","rack":"r",` +
+		`"upstream_url":"http://10.0.0.1:80","units":8,"entries":["10.0.0.2:1"]}}`))
+	f.Add([]byte(`{"role":"entry","name":"a","region":"r","cell":"c","entry":{"api_listen":"0.0.0.0:80",` +
+		`"rpc_listen":"10.0.0.1:81","platform":{"addresses":["10.0.0.9:1"],"timeout":"1s"}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("f", data)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v with error %v", s, err)
+		}
+		var listed *Error
+		if err != nil && (!errors.As(err, &listed) || len(listed.Problems) == 0) {
+			t.Fatalf("error without problems: %v", err)
+		}
+		if s != nil {
+			if ps := s.Check(); len(ps) > 0 {
+				t.Fatalf("accepted with %s", fmt.Sprint(ps))
+			}
+			_ = s.Report()
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/executor/http.go
@@ -0,0 +1,94 @@
+package executor
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+	"k8s.io/klog/v2"
+)
+
+// faultsRequest changes the simulated faults. Fields that are absent keep their value.
+type faultsRequest struct {
+	FailAll    *bool    `json:"fail_all"`
+	SlowFactor *float64 `json:"slow_factor"`
+}
+
+func (s *Server) handleRun(w http.ResponseWriter, r *http.Request) {
+	var request RunRequest
+	if err := decode(w, r, &request); err != nil {
+		fail(w, "", err)
+		return
+	}
+	if request.ID == "" {
+		fail(w, "", merry.Wrap(errBadRequest, merry.AppendMessage("id is required")))
+		return
+	}
+	response, err := s.run(r.Context(), request)
+	if err != nil {
+		fail(w, request.ID, err)
+		return
+	}
+	answer(w, http.StatusOK, response)
+}
+
+func (s *Server) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Status())
+}
+
+func (s *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var request faultsRequest
+	if err := decode(w, r, &request); err != nil {
+		fail(w, "", err)
+		return
+	}
+	if f := request.SlowFactor; f != nil && *f <= 0 {
+		fail(w, "", merry.Wrap(errBadRequest, merry.AppendMessagef("slow_factor %g is not positive", *f)))
+		return
+	}
+	faults := s.changeFaults(request)
+	klog.InfoS("Set faults", "failAll", faults.FailAll, "slowFactor", faults.SlowFactor)
+	answer(w, http.StatusOK, faults)
+}
+
+func (s *Server) changeFaults(request faultsRequest) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if request.FailAll != nil {
+		s.faults.FailAll = *request.FailAll
+	}
+	if request.SlowFactor != nil {
+		s.faults.SlowFactor = *request.SlowFactor
+	}
+	return s.faults
+}
+
+// decode reads the body to its end, without which net/http does not notice that the caller went away.
+func decode(w http.ResponseWriter, r *http.Request, request any) error {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(body, request)
+	}
+	if err != nil {
+		return merry.Wrap(errBadRequest, merry.WithCause(err))
+	}
+	return nil
+}
+
+func fail(w http.ResponseWriter, id string, err error) {
+	answer(w, merry.HTTPCode(err), RunResponse{ID: id, Reason: err.Error()})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		klog.ErrorS(err, "Encode response")
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if _, err := w.Write(data); err != nil {
+		klog.V(1).InfoS("Write response", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/kv/kv.go
@@ -0,0 +1,160 @@
+// Package kv is the stand-in for the platform's key-value service: an HTTP server over an in-memory store, with
+// faults that can be switched while it runs. It is used by tests and the demo only.
+package kv
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/platform/memstore"
+)
+
+// maxMilliseconds bounds durations in requests, so that they fit a time.Duration.
+const maxMilliseconds = int64(366 * 24 * time.Hour / time.Millisecond)
+
+// errBadRequest is returned for requests that cannot be decoded or are out of range.
+var errBadRequest = merry.Sentinel("kv: malformed request", merry.WithHTTPCode(http.StatusBadRequest))
+
+// Server is the http.Handler of the service.
+type Server struct {
+	store  *memstore.Store
+	router *mux.Router
+}
+
+// New returns a server over the store.
+func New(store *memstore.Store) *Server {
+	s := &Server{store: store, router: mux.NewRouter()}
+	handle(s, platform.PathGet, func(ctx context.Context, r platform.GetRequest) (platform.Entry, error) {
+		return store.Get(ctx, r.Key)
+	})
+	handle(s, platform.PathRange, s.rangeKeys)
+	handle(s, platform.PathWatch, s.watch)
+	handleWrite(s, platform.PathPut, s.put)
+	handleWrite(s, platform.PathDelete, s.delete)
+	handleWrite(s, platform.PathGrant, s.grant)
+	handleWrite(s, platform.PathKeepAlive, func(ctx context.Context, r platform.LeaseRequest) (none, error) {
+		return none{}, store.KeepAlive(ctx, r.Lease)
+	})
+	handleWrite(s, platform.PathRevoke, func(ctx context.Context, r platform.LeaseRequest) (none, error) {
+		return none{}, store.Revoke(ctx, r.Lease)
+	})
+	s.router.HandleFunc("/admin/faults", s.faults).Methods(http.MethodPost)
+	s.router.HandleFunc("/admin/stats", s.stats).Methods(http.MethodGet)
+	return s
+}
+
+type none = platform.EmptyResponse
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+func (s *Server) rangeKeys(ctx context.Context, r platform.RangeRequest) (platform.RangeResponse, error) {
+	entries, revision, err := s.store.Range(ctx, r.Prefix, r.After, r.Limit)
+	return platform.RangeResponse{Entries: entries, Revision: revision}, err
+}
+
+func (s *Server) watch(ctx context.Context, r platform.WatchRequest) (platform.WatchResponse, error) {
+	wait := time.Duration(min(max(r.WaitMS, 0), platform.MaxWatchWaitMS)) * time.Millisecond
+	events, revision, err := s.store.Watch(ctx, r.Prefix, r.Since, wait)
+	return platform.WatchResponse{Events: events, Revision: revision}, err
+}
+
+func (s *Server) put(ctx context.Context, r platform.PutRequest) (platform.PutResponse, error) {
+	revision, err := s.store.Put(ctx, r.Key, r.Value, r.Expect, r.Lease)
+	return platform.PutResponse{Revision: revision}, err
+}
+
+func (s *Server) delete(ctx context.Context, r platform.DeleteRequest) (none, error) {
+	return none{}, s.store.Delete(ctx, r.Key, r.Expect)
+}
+
+func (s *Server) grant(ctx context.Context, r platform.GrantRequest) (platform.GrantResponse, error) {
+	if r.TTLMS < 0 || r.TTLMS > maxMilliseconds {
+		return platform.GrantResponse{}, merry.Wrap(errBadRequest, merry.AppendMessagef("ttl_ms %d", r.TTLMS))
+	}
+	id, err := s.store.Grant(ctx, time.Duration(r.TTLMS)*time.Millisecond)
+	return platform.GrantResponse{Lease: id}, err
+}
+
+// handleWrite registers a call that changes the store. A slow write takes effect even if its caller gave up, as it
+// can in a real service.
+func handleWrite[Q, A any](s *Server, path string, call func(context.Context, Q) (A, error)) {
+	handle(s, path, func(ctx context.Context, request Q) (A, error) {
+		return call(context.WithoutCancel(ctx), request)
+	})
+}
+
+// handle registers a data call.
+func handle[Q, A any](s *Server, path string, call func(context.Context, Q) (A, error)) {
+	s.router.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		var request Q
+		if err := decode(w, r, &request); err != nil {
+			fail(w, err)
+			return
+		}
+		response, err := call(r.Context(), request)
+		if err != nil {
+			fail(w, err)
+			return
+		}
+		answer(w, http.StatusOK, response)
+	}).Methods(http.MethodPost)
+}
+
+// decode reads the body to its end, without which net/http does not notice that the caller went away.
+func decode(w http.ResponseWriter, r *http.Request, request any) error {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxRequestBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return platform.ErrTooLarge
+	}
+	if err == nil {
+		err = json.Unmarshal(body, request)
+	}
+	if err != nil {
+		return merry.Wrap(errBadRequest, merry.WithCause(err))
+	}
+	return nil
+}
+
+// fail answers with the status of an error. An outage and a lost answer close the connection without an answer.
+func fail(w http.ResponseWriter, err error) {
+	status := merry.HTTPCode(err)
+	switch {
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknownOutcome):
+		panic(http.ErrAbortHandler) // net/http closes the connection and logs nothing
+	case errors.Is(err, platform.ErrNotFound):
+		status = platform.StatusNotFound
+	case errors.Is(err, platform.ErrConflict):
+		status = platform.StatusConflict
+	case errors.Is(err, platform.ErrCompacted):
+		status = platform.StatusCompacted
+	case errors.Is(err, platform.ErrLeaseNotFound):
+		status = platform.StatusLeaseNotFound
+	case errors.Is(err, platform.ErrTooLarge):
+		status = platform.StatusTooLarge
+	}
+	answer(w, status, platform.ErrorResponse{Reason: err.Error()})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		klog.ErrorS(err, "Encode response")
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if _, err := w.Write(data); err != nil {
+		klog.V(1).InfoS("Write response", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/kv/linearizability_test.go
@@ -0,0 +1,182 @@
+package kv_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/platform/memstore"
+)
+
+const (
+	clients      = 6
+	opsPerClient = 150
+	opsPerPhase  = 45
+	testKey      = "k"
+)
+
+// op is one call on testKey: a get, a put of a value that is written only once, or a delete.
+type op struct {
+	kind   memstore.Call
+	expect platform.Revision
+	value  string
+}
+
+// result is the outcome of an op. The revision is that of the entry read or written.
+type result struct {
+	err      error
+	revision platform.Revision
+	value    string
+}
+
+// register is the state of the only key: global counts all writes, revision is zero while the key does not exist.
+type register struct {
+	global, revision platform.Revision
+	value            string
+}
+
+// model is a compare-and-swap register. A write with an unknown outcome may be linearized at any later time, at the
+// end of the history if it had no effect.
+var model = porcupine.Model{
+	Init: func() any { return register{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(register), input.(op), output.(result)
+		if in.kind == memstore.CallGet {
+			return matches(out, s), s
+		}
+		next, err := s.write(in)
+		if errors.Is(out.err, platform.ErrUnknownOutcome) {
+			return true, next
+		}
+		if err != nil || out.err != nil {
+			return errors.Is(out.err, err), next
+		}
+		return in.kind == memstore.CallDelete || out.revision == next.revision, next
+	},
+}
+
+func (s register) write(in op) (register, error) {
+	switch {
+	case in.kind == memstore.CallDelete && s.revision == 0:
+		return s, platform.ErrNotFound
+	case in.expect != s.revision:
+		return s, platform.ErrConflict
+	case in.kind == memstore.CallDelete:
+		return register{global: s.global + 1}, nil
+	}
+	return register{global: s.global + 1, revision: s.global + 1, value: in.value}, nil
+}
+
+func matches(out result, s register) bool {
+	if s.revision == 0 {
+		return errors.Is(out.err, platform.ErrNotFound)
+	}
+	return out.err == nil && out.revision == s.revision && out.value == s.value
+}
+
+// history records operations for the checker.
+type history struct {
+	start time.Time
+	done  atomic.Int64
+	mu    sync.Mutex
+	ops   []porcupine.Operation
+	count map[error]int
+}
+
+// record adds an operation. One that took no effect is left out: if it did have one, the checker finds a revision or
+// a value that no operation wrote.
+func (h *history) record(client int, in op, out result, call, end time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, err := range []error{platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrConflict, nil} {
+		if errors.Is(out.err, err) {
+			h.count[err]++
+		}
+	}
+	if errors.Is(out.err, platform.ErrUnavailable) {
+		return
+	}
+	if errors.Is(out.err, platform.ErrUnknownOutcome) {
+		end = math.MaxInt64
+	}
+	h.ops = append(h.ops, porcupine.Operation{
+		ClientId: client, Input: in, Output: out, Call: int64(call), Return: int64(end)})
+}
+
+// TestLinearizable guards against a wrong translation of failures by the adapter: a write reported as without effect
+// that had one, a repeated write, or an answer to another call. Clients race while answers are lost, calls are slower
+// than the timeout, the service drops connections and its port is closed.
+func TestLinearizable(t *testing.T) {
+	service := startService(t)
+	store := platform.NewHTTP([]string{service.address}, 40*time.Millisecond, nil)
+	defer store.Close()
+	h := &history{start: time.Now(), count: map[error]int{}}
+	var group sync.WaitGroup
+	for client := range clients {
+		group.Go(func() { runClient(client, store, service, h) })
+	}
+	group.Wait()
+	service.phase(0)
+
+	for _, err := range []error{platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrConflict, nil} {
+		if h.count[err] == 0 {
+			t.Errorf("no call ended with %v", err)
+		}
+	}
+	t.Log("calls by outcome:", h.count)
+	stats := service.store.Stats()
+	if calls, seen := int64(clients*opsPerClient), stats.Reads+stats.Writes; seen > calls {
+		t.Errorf("the service saw %d calls, the clients made %d", seen, calls)
+	}
+	if got := porcupine.CheckOperationsTimeout(model, h.ops, time.Minute); got != porcupine.Ok {
+		t.Fatalf("linearizability of %d operations: %v", len(h.ops), got)
+	}
+}
+
+// runClient makes random calls; the count of calls of all clients moves the service from one phase to the next.
+func runClient(client int, store platform.Store, service *service, h *history) {
+	random := rand.New(rand.NewPCG(1, uint64(client)))
+	var known platform.Revision
+	for i := range opsPerClient {
+		if n := h.done.Add(1); n%opsPerPhase == 0 {
+			service.phase(int(n / opsPerPhase))
+		}
+		in := op{kind: memstore.CallPut, expect: known, value: fmt.Sprintf("%d-%d", client, i)}
+		switch p := random.IntN(10); {
+		case p < 4:
+			in = op{kind: memstore.CallGet}
+		case p == 4:
+			in = op{kind: memstore.CallDelete, expect: known}
+		}
+		call := time.Since(h.start)
+		out := carryOut(store, in)
+		h.record(client, in, out, call, time.Since(h.start))
+		if out.err == nil || errors.Is(out.err, platform.ErrNotFound) {
+			known = out.revision
+		}
+	}
+}
+
+func carryOut(store platform.Store, in op) (out result) {
+	ctx := context.Background()
+	switch in.kind {
+	case memstore.CallGet:
+		var e platform.Entry
+		e, out.err = store.Get(ctx, testKey)
+		out.revision, out.value = e.Revision, string(e.Value)
+	case memstore.CallDelete:
+		out.err = store.Delete(ctx, testKey, in.expect)
+	default:
+		out.revision, out.err = store.Put(ctx, testKey, []byte(in.value), in.expect, 0)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,83 @@
+// Package telemetry serves the metrics and the health of one process over HTTP.
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/settings"
+)
+
+const (
+	reportInterval    = time.Second
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Metrics is the root scope and the page that scrapers read.
+type Metrics struct {
+	Scope tally.Scope
+	page  http.Handler
+	close io.Closer
+}
+
+// NewMetrics returns the metrics of a process, tagged with its place.
+func NewMetrics(s *settings.Settings) *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{
+		OnRegisterError: func(err error) { klog.InfoS("Metric not registered", "err", err) },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "masticcart",
+		Tags:           map[string]string{"process": s.Name, "region": s.Region, "cell": s.Cell},
+		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+	}, reportInterval)
+	return &Metrics{Scope: scope, page: reporter.HTTPHandler(), close: closer}
+}
+
+// Ready tells whether the process can take work.
+type Ready func() error
+
+// Serve adds the listener for metrics and health to the life of the process, if the settings name one.
+func Serve(lc fx.Lifecycle, s *settings.Settings, m *Metrics, ready Ready) {
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return m.close.Close() }})
+	if s.Metrics.Listen == "" {
+		return
+	}
+	r := mux.NewRouter()
+	r.Handle("/metrics", m.page)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { answer(w, nil) })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) { answer(w, ready()) })
+	server := &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := net.Listen("tcp", s.Metrics.Listen)
+			if err != nil {
+				return err
+			}
+			go func() {
+				if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					klog.ErrorS(err, "Metrics listener failed")
+				}
+			}()
+			return nil
+		},
+		OnStop: server.Shutdown,
+	})
+}
+
+func answer(w http.ResponseWriter, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
