--- a/cmd/masticcart/main_test.go
+++ b/cmd/masticcart/main_test.go
@@ -82,6 +82,7 @@
 		{"wait a/1", "GET /v1/jobs/a/1/wait", jobReply(model.JobFinished, model.ResultDone), 0, "", "done", ""},
 		{"wait a/1", "GET /v1/jobs/a/1/wait", jobReply(model.JobFinished, model.ResultCancelled), 5, "", "cancelled", ""},
 		{"wait a/1 --timeout 300ms", "GET /v1/jobs/a/1/wait", jobReply(model.JobClaimed, ""), 4, "", "claimed", "not finished"},
+		{"--timeout 300ms wait a/1", "GET /v1/jobs/a/1/wait", jobReply(model.JobClaimed, ""), 4, "", "claimed", "not finished"},
 		{"cancel a/1", "POST /v1/jobs/a/1/cancel", jobReply(model.JobClaimed, ""), 0, "", "claimed", ""},
 		{"query|show jobs limit 1", "POST /v1/query", reply{200, api.QueryReply{Columns: []string{"id"}, Rows: [][]any{{1234567}}}}, 0,
 			`{"query":"show jobs limit 1"}`, "ID\n1234567\n", ""},
--- a/cmd/masticcart/work.go
+++ b/cmd/masticcart/work.go
@@ -231,7 +231,7 @@
 func (a *app) cancelCommand() *cli.Command {
 	return &cli.Command{
 		Name: "cancel", UsageText: "masticcart cancel TEAM/ID", Usage: "ask for a job to be cancelled",
-		Description: "Records the wish and prints the job. A job that runs is stopped; 'wait' tells how it ended, which " +
+		Description: "Records the cancellation request and prints the job. A job that runs is stopped; 'wait' tells how it ended, which " +
 			"may still be done.\n\nExample:\n  masticcart cancel prism/fit-7 && masticcart wait prism/fit-7",
 		Action: a.jobAction(func(ctx context.Context, c *client.Client, k model.JobKey) (model.Job, error) {
 			return c.Cancel(ctx, k)
--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -92,11 +92,22 @@
 	c.emit(LoadAction{Job: key})
 }
 
-// Missing tells the coordinator that an open job has no record. It stays known only while something runs.
-func (c *Coordinator) Missing(_ time.Time, key model.JobKey) {
-	if j := c.jobs[key]; j != nil && !j.loaded && j.attempt == nil {
+// Missing tells the coordinator that an open job has no record. The submitter writes the index entry first, so
+// the record is usually on its way; it is read again with growing pauses until the entry counts as an orphan.
+func (c *Coordinator) Missing(now time.Time, key model.JobKey) {
+	j := c.jobs[key]
+	if j == nil || j.loaded || j.phase != phaseLoading {
+		return
+	}
+	if j.missingSince.IsZero() {
+		j.missingSince = now
+	}
+	missing := now.Sub(j.missingSince)
+	if missing > orphanIndexAge {
 		delete(c.jobs, key)
+		return
 	}
+	j.notBefore = now.Add(min(missing/2, platformRetry))
 }
 
 // Loaded takes in a job record. Older versions than the known one are ignored.
@@ -205,6 +216,21 @@
 	j.nextAttempt = max(j.nextAttempt, r.Attempt+1)
 	klog.InfoS("Adopted attempt", "cell", c.cell, "job", j.key, "attempt", a.number, "members", len(a.members))
 	c.startMembers(now, j)
+	c.observeKnown(now, j)
+}
+
+// observeKnown applies what the agents reported before this entry supervised the attempt. They report changes
+// only, so a task that ended meanwhile is not reported again.
+func (c *Coordinator) observeKnown(now time.Time, j *job) {
+	for _, m := range j.attempt.members {
+		u := c.upstreams[m.Agent]
+		if u == nil || u.identity.Incarnation != m.Incarnation {
+			continue
+		}
+		if t := u.tasks[j.key]; t != nil && t.status.Attempt == j.attempt.number {
+			c.observe(now, j, m, t.status)
+		}
+	}
 }
 
 // adoptTask lets a new owner supervise a gang whose record it cannot read during an outage of the platform.
@@ -221,13 +247,7 @@
 	j.record.Job = model.Job{Spec: *s.Spec, Cell: c.cell, State: model.JobClaimed, Attempt: s.Attempt, Members: s.Members}
 	c.jobs[s.Job] = j
 	klog.InfoS("Supervising attempt from an agent's report", "cell", c.cell, "job", s.Job, "attempt", s.Attempt, "agent", u.identity.Agent)
-	for _, m := range a.members {
-		if v := c.upstreams[m.Agent]; v != nil && v.identity.Incarnation == m.Incarnation {
-			if known := v.tasks[s.Job]; known != nil {
-				c.observe(now, j, m, known.status)
-			}
-		}
-	}
+	c.observeKnown(now, j)
 }
 
 // Tick detects lost members, repeats unanswered calls and plans.
--- a/internal/cell/types.go
+++ b/internal/cell/types.go
@@ -176,8 +176,10 @@
 	attempt     *attempt
 	nextAttempt int
 	notBefore   time.Time
-	reason      string
-	wouldChange string
+	// missingSince is when the record of an open job was first found missing.
+	missingSince time.Time
+	reason       string
+	wouldChange  string
 	// pending is a write that waits for the platform.
 	pending *WriteAction
 }
--- /dev/null
+++ b/internal/experiment/large.go
@@ -0,0 +1,149 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/placement"
+)
+
+// LargeWorkers is one data centre's share of the target: 27,000 workers over 11 data centres.
+const LargeWorkers = 2450
+
+// rackWorkers is the number of workers in a rack of a large cell.
+const rackWorkers = 16
+
+// Workers returns a large cell: 2 accelerators on most workers and 8 on every fiftieth rackful.
+func Workers(n int) []placement.Upstream {
+	out := make([]placement.Upstream, n)
+	for i := range out {
+		units := 2
+		if i/rackWorkers%50 == 0 {
+			units = 8
+		}
+		out[i] = placement.Upstream{ID: fmt.Sprintf("worker-%05d", i), Incarnation: "1",
+			Rack: fmt.Sprintf("rack-%04d", i/rackWorkers), Units: units, Free: units}
+	}
+	return out
+}
+
+// largeTeams is the number of teams in a large cell; the first holders have guarantees.
+const (
+	largeTeams = 40
+	holders    = 12
+)
+
+func largeConfig() *model.Config {
+	c := &model.Config{Version: 1, Weights: model.Weights{CompletionTime: 0.5, Fragmentation: 0.5},
+		Rules: []model.Rule{
+			{Kind: "urgent", Class: model.ClassUrgent, Priority: 1},
+			{Kind: "batch", Class: model.ClassNormal, Priority: 10, MaxWait: time.Hour},
+			{Kind: "gang", Class: model.ClassNormal, Priority: 20, MaxWait: 20 * time.Minute},
+			{Kind: "later", Class: model.ClassDeferrable, Priority: 50, MaxWait: 2 * time.Hour},
+		}}
+	for i := range largeTeams {
+		c.Teams = append(c.Teams, model.Team{Name: teamName(i)})
+	}
+	shapes := []model.Shape{accelerators(8, model.AdjacentWorker), accelerators(16, model.AdjacentRack),
+		accelerators(32, model.AdjacentRack), accelerators(64, model.AdjacentDatacenter)}
+	for i := range holders {
+		c.Guarantees = append(c.Guarantees, model.Guarantee{Team: teamName(i), Cell: "cell", Shape: shapes[i%len(shapes)], Count: 2})
+	}
+	return c
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
+
+func borrowers() []string {
+	var out []string
+	for i := holders; i < largeTeams; i++ {
+		out = append(out, teamName(i))
+	}
+	return out
+}
+
+func largeKinds() []kind {
+	w, r, dc := model.AdjacentWorker, model.AdjacentRack, model.AdjacentDatacenter
+	return []kind{
+		{name: "urgent", weight: 15, shapes: []model.Shape{accelerators(1, w), accelerators(2, w), accelerators(4, r)},
+			low: 30 * time.Second, high: 5 * time.Minute, preemptible: 0.5},
+		{name: "batch", weight: 50, shapes: []model.Shape{accelerators(1, w), accelerators(2, w), accelerators(2, w), accelerators(8, w), accelerators(8, r)},
+			low: 5 * time.Minute, high: 2 * time.Hour, preemptible: 0.9},
+		{name: "later", weight: 30, shapes: []model.Shape{accelerators(1, w), accelerators(2, w), accelerators(4, r)},
+			low: 10 * time.Minute, high: 2 * time.Hour, preemptible: 0.7},
+		{name: "gang", weight: 5, shapes: []model.Shape{accelerators(32, r), accelerators(64, dc), accelerators(128, dc), accelerators(256, dc)},
+			low: 10 * time.Minute, high: time.Hour, preemptible: 1},
+	}
+}
+
+// The loads of a large cell.
+const (
+	LargeSteady  = "steady"
+	LargeSmall   = "burst-small"
+	LargeGangs   = "burst-large"
+	LargeCancel  = "cancel-wave"
+	LargeClaim   = "claim"
+	LargeFaults  = "faults"
+	LargeEndless = "endless-small"
+)
+
+// LargeNames lists the loads of a large cell.
+func LargeNames() []string {
+	return []string{LargeSteady, LargeSmall, LargeGangs, LargeCancel, LargeClaim, LargeFaults, LargeEndless}
+}
+
+// Large returns a load of one data centre with the number of workers given.
+func Large(name string, workers int, seed uint64) *Load {
+	g := newGenerator(fmt.Sprintf("large-%s", name), seed)
+	l := g.load
+	l.Workers, l.Config, l.End, l.Tick = Workers(workers), largeConfig(), 90*time.Minute, TickInterval
+	kinds, teams := largeKinds(), borrowers()
+	if name == LargeEndless {
+		g.endless(teams)
+		return l
+	}
+	g.stream(kinds[1:], teams, 0, time.Minute, 50)
+	g.stream(kinds, teams, time.Minute, time.Hour, 0.5)
+	g.stream(kinds[:1], teams, time.Minute, time.Hour, 0.02)
+	switch name {
+	case LargeSmall:
+		g.stream(kinds[:3], teams, 20*time.Minute, 21*time.Minute, 15)
+	case LargeGangs:
+		g.stream(kinds[3:], teams, 20*time.Minute, 21*time.Minute, 15)
+		big := kind{name: "gang", shapes: []model.Shape{accelerators(512, model.AdjacentDatacenter)}, low: 10 * time.Minute, high: 20 * time.Minute, preemptible: 1}
+		g.add(big, teams[0], 20*time.Minute)
+	case LargeCancel:
+		g.stream(kinds, teams, 20*time.Minute, 21*time.Minute, 15)
+		g.cancelWave(30*time.Minute, 0.5)
+	case LargeClaim:
+		g.claims()
+	case LargeFaults:
+		g.misdeclare(100)
+		g.crash(0.02)
+		g.breakWorkers(0.02, 20)
+	}
+	return l
+}
+
+// claims lets every holder claim its guarantees while everything is lent out, in three waves.
+func (g *generator) claims() {
+	for _, at := range []time.Duration{20 * time.Minute, 40 * time.Minute, 60 * time.Minute} {
+		for _, gu := range g.load.Config.Guarantees {
+			for range gu.Count {
+				k := kind{name: "later", shapes: []model.Shape{gu.Shape}, low: 5 * time.Minute, high: 10 * time.Minute}
+				g.add(k, gu.Team, at+time.Duration(g.IntN(30_000))*time.Millisecond).Claim = true
+			}
+		}
+	}
+}
+
+// endless keeps the queue full of small jobs of the same class and a better priority than the largest gang's.
+func (g *generator) endless(teams []string) {
+	small := kind{name: "batch", weight: 1, shapes: []model.Shape{accelerators(1, model.AdjacentWorker), accelerators(2, model.AdjacentWorker)},
+		low: 2 * time.Minute, high: 15 * time.Minute, preemptible: 0.5}
+	g.stream([]kind{small}, teams, 0, 90*time.Minute, 1.15)
+	gang := kind{name: "gang", shapes: []model.Shape{accelerators(model.MaxGangAccelerators, model.AdjacentDatacenter)},
+		low: 5 * time.Minute, high: 10 * time.Minute, preemptible: 1}
+	g.add(gang, teams[0], 15*time.Minute)
+}
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -51,12 +51,22 @@
 
 // Store reads and writes job records.
 type Store struct {
-	kv  platform.Store
-	now func() time.Time
+	kv    platform.Store
+	now   func() time.Time
+	pause func(ctx context.Context, d time.Duration) error
 }
 
 // NewStore returns a store over the platform's service.
-func NewStore(kv platform.Store, now func() time.Time) *Store { return &Store{kv: kv, now: now} }
+func NewStore(kv platform.Store, now func() time.Time) *Store {
+	return &Store{kv: kv, now: now, pause: sleep}
+}
+
+// WithPause returns a copy of the store that waits between tries with the given function, for virtual clocks.
+func (s *Store) WithPause(pause func(ctx context.Context, d time.Duration) error) *Store {
+	c := *s
+	c.pause = pause
+	return &c
+}
 
 func recordKey(k model.JobKey) string { return recordPrefix + k.Team + "/" + k.ID }
 
@@ -130,7 +140,7 @@
 // the revision stands still, a slow platform may still apply it, and the outcome stays unknown.
 func (s *Store) readBack(ctx context.Context, job model.Job, at platform.Revision) (Record, error) {
 	for try := range readBackTries {
-		if try > 0 && sleep(ctx, readBackDelay) != nil {
+		if try > 0 && s.pause(ctx, readBackDelay) != nil {
 			break
 		}
 		r, err := s.Get(ctx, job.Spec.Key)
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -121,6 +121,7 @@
 func TestViewerIsolation(t *testing.T) {
 	full, own := testView(), testView()
 	own.Jobs, own.Finished = []protocol.JobView{full.Jobs[2]}, nil
+	own.Workers[0].Free = own.Workers[0].Identity.Units
 	if own.Jobs[0].Job.Spec.Key.Team != "pramen" {
 		t.Fatal("the test needs the job of pramen")
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -139,12 +139,7 @@
 // tick handles what is due and must be called at next or earlier.
 func (c *core) tick(now time.Time) {
 	for _, it := range c.queue.Advance(now) {
-		cl := c.calls[it.ID]
-		if cl.mayHaveRun {
-			c.finish(cl, unknown("the deadline passed before a retry; an earlier attempt may have run"))
-		} else {
-			c.finish(cl, refused("the deadline passed while waiting for an upstream"))
-		}
+		c.expire(c.calls[it.ID])
 	}
 	for {
 		w, due := c.timers.popDue(now)
@@ -162,6 +157,23 @@
 	c.pump(now)
 }
 
+// isTooLate reports whether a request that has waited long would more likely miss its deadline than meet it.
+// Under overload the head of a class is always close to its deadline, and serving it would fill the slots with
+// work that is cancelled. Requests that have not waited are sent in any case, so that the median stays current.
+func (c *core) isTooLate(now time.Time, cl *call) bool {
+	left := cl.item.Deadline.Sub(now)
+	return left < cl.req.Timeout/2 && left < c.view.kinds.median(cl.req.Kind)
+}
+
+// expire ends a queued call that cannot meet its deadline.
+func (c *core) expire(cl *call) {
+	if cl.mayHaveRun {
+		c.finish(cl, unknown("the deadline came too close for a retry; an earlier attempt may have run"))
+	} else {
+		c.finish(cl, refused("the deadline came too close while waiting for an upstream"))
+	}
+}
+
 // next returns when tick is due, or the zero time for never.
 func (c *core) next() time.Time {
 	return earliest(earliest(c.queue.Next(), c.timers.next()), c.wake)
@@ -199,6 +211,11 @@
 			continue
 		}
 		cl := c.calls[it.ID]
+		if c.isTooLate(now, cl) {
+			c.queue.Remove(it)
+			c.expire(cl)
+			return true
+		}
 		if c.trySend(now, cl, Attempt{Ahead: i}) {
 			return true
 		}
--- a/internal/routing/kinds.go
+++ b/internal/routing/kinds.go
@@ -16,7 +16,8 @@
 	answerBytes float64
 	times       [kindSamples]time.Duration
 	count       int
-	tail        time.Duration // 95th percentile, refreshed every few answers
+	median      time.Duration // refreshed every few answers, as is tail
+	tail        time.Duration // 95th percentile
 }
 
 func (k *kindStats) observe(took time.Duration, bytes int) {
@@ -27,7 +28,7 @@
 		n := min(k.count, kindSamples)
 		sorted := slices.Clone(k.times[:n])
 		slices.Sort(sorted)
-		k.tail = sorted[n*95/100]
+		k.median, k.tail = sorted[n/2], sorted[n*95/100]
 	}
 }
 
@@ -53,6 +54,14 @@
 	return 0
 }
 
+// median returns the median answer time of a kind, or zero while it is unknown.
+func (m kinds) median(kind string) time.Duration {
+	if k := m[kind]; k != nil {
+		return k.median
+	}
+	return 0
+}
+
 // tail returns the 95th percentile of the answer times of a kind, or zero while it is unknown.
 func (m kinds) tail(kind string) time.Duration {
 	if k := m[kind]; k != nil {
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -14,7 +14,7 @@
 	// and another entry's requests may have ended long before the next one.
 	probeInterval = 50 * time.Millisecond
 	// slowProbeInterval is the same for work that is not urgent at an upstream that others use too.
-	slowProbeInterval = 500 * time.Millisecond
+	slowProbeInterval = 100 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after refusals in a row; it doubles with each.
 	minBackoff = 2 * time.Millisecond
 	maxBackoff = time.Second
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -56,6 +56,7 @@
 	handlers Handlers
 	slots    chan struct{}
 	remote   string
+	ready    chan struct{} // closed once peer is set; requests can arrive before
 }
 
 // Handle implements jsonrpc2.Handler.
@@ -63,11 +64,13 @@
 	select {
 	case c.slots <- struct{}{}:
 	default:
+		<-c.ready
 		c.replyError(ctx, req, &jsonrpc2.Error{Code: codeOverloaded, Message: "too many requests in progress"})
 		return
 	}
 	go func() {
 		defer func() { <-c.slots }()
+		<-c.ready
 		c.serve(ctx, req)
 	}()
 }
@@ -141,10 +144,11 @@
 func (c *Conn) Close() error { return c.peer.Close() }
 
 func newConn(ctx context.Context, nc net.Conn, h Handlers) *Conn {
-	c := &Conn{handlers: h, slots: make(chan struct{}, maxConcurrentRequests), remote: nc.RemoteAddr().String()}
+	c := &Conn{handlers: h, slots: make(chan struct{}, maxConcurrentRequests), ready: make(chan struct{}), remote: nc.RemoteAddr().String()}
 	ctx, cancel := context.WithCancel(ctx)
 	c.peer = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(nc, boundedCodec{}), c,
 		jsonrpc2.SetLogger(discardLogger{}))
+	close(c.ready)
 	go func() { // requests in progress end with the connection
 		<-c.Done()
 		cancel()
