--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -27,6 +27,7 @@
 	agent    *Agent
 	tls      *tls.Config
 	seeds    []string
+	meter    *rpc.Meter
 	order    chan entryOrder // newest order, from any session
 	sessions map[string]*session
 }
@@ -46,7 +47,7 @@
 
 // NewSessions returns the sessions of an agent; Run starts them.
 func NewSessions(a *Agent, tlsConfig *tls.Config, seeds []string) *Sessions {
-	return &Sessions{agent: a, tls: tlsConfig, seeds: seeds, order: make(chan entryOrder, 1), sessions: make(map[string]*session)}
+	return &Sessions{agent: a, tls: tlsConfig, seeds: seeds, meter: &rpc.Meter{}, order: make(chan entryOrder, 1), sessions: make(map[string]*session)}
 }
 
 // Run keeps the sessions until ctx ends.
@@ -57,6 +58,7 @@
 	defer ticker.Stop()
 	for {
 		s.reconcile(ctx, s.wanted(order, ordered))
+		s.meter.Report(s.agent.scope)
 		select {
 		case <-ctx.Done():
 			s.closeAll()
@@ -132,7 +134,7 @@
 // connect runs one connection until it ends and reports whether the entry answered at all.
 func (s *Sessions) connect(ctx context.Context, ses *session) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	conn, err := rpc.Dial(dialCtx, ses.address, s.tls, s.agent.Handlers())
+	conn, err := rpc.Dial(dialCtx, ses.address, s.tls, s.agent.Handlers(), s.meter)
 	cancel()
 	if err != nil {
 		klog.V(2).InfoS("Entry not reached", "entry", ses.address, "err", err)
@@ -140,22 +142,10 @@
 	}
 	defer conn.Close()
 	answered := false
-	announce := true
-	var sent, change uint64
+	announce, change := true, uint64(0)
 	for {
-		var reply protocol.HeartbeatReply
 		started := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-		if announce {
-			args := s.agent.announcement()
-			change, sent = args.Sequence, args.Sequence
-			err = conn.Call(callCtx, protocol.MethodAnnounce, args, &reply)
-		} else {
-			args := s.agent.heartbeat(change)
-			sent = args.Sequence
-			err = conn.Call(callCtx, protocol.MethodHeartbeat, args, &reply)
-		}
-		cancel()
+		reply, sent, err := s.report(ctx, conn, announce, change)
 		if err != nil {
 			klog.V(1).InfoS("Session ended", "entry", ses.address, "err", err)
 			return answered
@@ -168,6 +158,22 @@
 	}
 }
 
+// report sends the full state, or the changes since the last acknowledged report. It returns the number of the
+// last change that the entry now knows.
+func (s *Sessions) report(ctx context.Context, conn *rpc.Conn, announce bool, since uint64) (protocol.HeartbeatReply, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var reply protocol.HeartbeatReply
+	if announce {
+		args := s.agent.announcement()
+		err := conn.Call(ctx, protocol.MethodAnnounce, args, &reply)
+		return reply, args.Sequence, err
+	}
+	args := s.agent.heartbeat(since)
+	err := conn.Call(ctx, protocol.MethodHeartbeat, args, &reply)
+	return reply, args.Sequence, err
+}
+
 func (s *Sessions) accept(started time.Time, reply protocol.HeartbeatReply) {
 	s.agent.acknowledged(started, reply)
 	if len(reply.Entries) == 0 {
--- a/internal/entry/fx.go
+++ b/internal/entry/fx.go
@@ -63,8 +63,8 @@
 
 func newJobs(s platform.Store) *jobs.Store { return jobs.NewStore(s, time.Now) }
 
-func newPeers(s *settings.Settings, t *membership.Table, store platform.Store, tc *transport.Config) *Peers {
-	return &Peers{table: t, store: store, tls: tc.Dial, seeds: s.Entry.Peers,
+func newPeers(s *settings.Settings, t *membership.Table, store platform.Store, tc *transport.Config, m *telemetry.Metrics) *Peers {
+	return &Peers{table: t, store: store, tls: tc.Dial, meter: &rpc.Meter{}, scope: m.Scope, seeds: s.Entry.Peers,
 		conns: make(map[string]*rpc.Conn), alive: make(map[string]bool)}
 }
 
@@ -120,13 +120,14 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			var err error
-			if own, err = rpc.Listen(set.Entry.RPCListen, tc.Listen, s.handlers()); err != nil {
+			if own, err = rpc.Listen(set.Entry.RPCListen, tc.Listen, s.handlers(), s.peers.meter); err != nil {
 				return err
 			}
 			for _, duty := range []func(context.Context){s.cell.Run, s.cell.FollowIndex, s.config.Follow, s.config.Fetch, s.peers.Gossip} {
 				go duty(ctx)
 			}
 			go s.config.LoadOnce(ctx, repo)
+			go s.jobs.RunSweeps(ctx, func(now time.Time) bool { return s.table.First("sweep", now) })
 			return listenAPI(web, set.Entry.APIListen, tc.API)
 		},
 		OnStop: func(context.Context) error {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/membership"
@@ -30,6 +31,8 @@
 	table *membership.Table
 	store platform.Store
 	tls   *tls.Config
+	meter *rpc.Meter
+	scope tally.Scope
 	seeds []string
 	// self fills in the parts of the gossip that change.
 	self func(*protocol.GossipArgs)
@@ -55,7 +58,7 @@
 			return c, nil
 		}
 	}
-	c, err := rpc.Dial(ctx, address, p.tls, p.handlers)
+	c, err := rpc.Dial(ctx, address, p.tls, p.handlers, p.meter)
 	if err != nil {
 		return nil, err
 	}
@@ -120,6 +123,7 @@
 		})
 	}
 	calls.Wait()
+	p.meter.Report(p.scope)
 	p.noteLost()
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -148,6 +148,20 @@
 	return out
 }
 
+// First reports whether this entry is the first of all live entries for a duty that one process performs for
+// the whole system.
+func (t *Table) First(duty string, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	own := weight(duty, t.self.Entry)
+	for id, p := range t.peers {
+		if t.alive(p, now) && !p.State.Leaving && weight(duty, id) > own {
+			return false
+		}
+	}
+	return !t.self.Leaving
+}
+
 func weight(cell, entry string) uint64 { return xxhash.Sum64String(cell + "\x00" + entry) }
 
 // Owner reports whether this entry is the first in its own cell's order.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -140,13 +140,17 @@
 // Done is closed when the connection ends.
 func (c *Conn) Done() <-chan struct{} { return c.peer.DisconnectNotify() }
 
-// Close ends the connection.
-func (c *Conn) Close() error { return c.peer.Close() }
+// Close ends the connection. A connection that has ended already is left as it is.
+func (c *Conn) Close() {
+	if err := c.peer.Close(); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
+		klog.V(2).InfoS("Connection not closed cleanly", "remote", c.remote, "err", err)
+	}
+}
 
-func newConn(ctx context.Context, nc net.Conn, h Handlers) *Conn {
+func newConn(ctx context.Context, nc net.Conn, h Handlers, m *Meter) *Conn {
 	c := &Conn{handlers: h, slots: make(chan struct{}, maxConcurrentRequests), ready: make(chan struct{}), remote: nc.RemoteAddr().String()}
 	ctx, cancel := context.WithCancel(ctx)
-	c.peer = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(nc, boundedCodec{}), c,
+	c.peer = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(meteredConn{nc, m}, boundedCodec{}), c,
 		jsonrpc2.SetLogger(discardLogger{}))
 	close(c.ready)
 	go func() { // requests in progress end with the connection
@@ -162,7 +166,7 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // Dial connects to a peer. The connection outlives ctx, which bounds the dial only.
-func Dial(ctx context.Context, address string, tlsConfig *tls.Config, h Handlers) (*Conn, error) {
+func Dial(ctx context.Context, address string, tlsConfig *tls.Config, h Handlers, m *Meter) (*Conn, error) {
 	dialer := &net.Dialer{KeepAlive: keepAlivePeriod}
 	var nc net.Conn
 	var err error
@@ -174,20 +178,21 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrDial, merry.AppendMessagef("%s: %v", address, err))
 	}
-	return newConn(context.WithoutCancel(ctx), nc, h), nil
+	return newConn(context.WithoutCancel(ctx), nc, h, m), nil
 }
 
 // Server accepts connections until it is closed.
 type Server struct {
 	listener net.Listener
 	handlers Handlers
+	meter    *Meter
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
 	closed   bool
 }
 
 // Listen opens a listener and starts to accept. A nil tlsConfig means plain TCP.
-func Listen(address string, tlsConfig *tls.Config, h Handlers) (*Server, error) {
+func Listen(address string, tlsConfig *tls.Config, h Handlers, m *Meter) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, merry.Prepend(err, "rpc: listen")
@@ -195,7 +200,7 @@
 	if tlsConfig != nil {
 		l = tls.NewListener(l, tlsConfig)
 	}
-	s := &Server{listener: l, handlers: h, conns: make(map[*Conn]struct{})}
+	s := &Server{listener: l, handlers: h, meter: m, conns: make(map[*Conn]struct{})}
 	go s.accept()
 	return s, nil
 }
@@ -214,7 +219,7 @@
 			time.Sleep(50 * time.Millisecond) // for example out of file descriptors
 			continue
 		}
-		s.track(newConn(context.Background(), nc, s.handlers))
+		s.track(newConn(context.Background(), nc, s.handlers, s.meter))
 	}
 }
 
@@ -235,13 +240,14 @@
 }
 
 // Close stops accepting and ends all connections.
-func (s *Server) Close() error {
-	err := s.listener.Close()
+func (s *Server) Close() {
+	if err := s.listener.Close(); err != nil {
+		klog.V(2).InfoS("Listener not closed cleanly", "address", s.Address(), "err", err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
 	for c := range s.conns {
 		c.Close()
 	}
-	return err
 }
