Fix six faults of the scheduling core that stateful fuzzing found

Causes, each with a shrunk trace: 1. Two owners with the same attempt number and members: the loser took the winner's claim for its own and put a running job back as not run. Claims now carry an id that every command repeats. 2. An owner concluded from its own last acknowledgement that a lease had expired, while another owner still extended it. Now the record is marked as revoked first, and a one-way cut leaves one owner only. 3. Idempotent work on slots can overlap with what an executor still runs for a lost agent. A job that failed on every worker it fits was retried about twice a second without end: bound of 5 failures and a pause that doubles. 5. A stale view of an agent was taken for proof of its restart. Now the other incarnation must be heard after the attempt was made. 6. An agent paused between its answer to a start and the call to the upstream started work past its lease. Now it asks the ledger right before the call. Ruled out for 2: tying lease extension to reads of the platform, which would stop running work in an outage. Also: set operators, so that operators' tokens live in the configuration.

--- a/cmd/masticcart/operate.go
+++ b/cmd/masticcart/operate.go
@@ -97,6 +97,7 @@
 			"           [cross-region-price DURATION|never]             replaces the whole rule\n" +
 			"  remove rule KIND\n" +
 			"  set weights completion-time F fragmentation F            each from 0 to 1\n" +
+			"  set operators token-hash H ...                            operators' tokens; ends the bootstrap token\n" +
 			"A guarantee that does not fit into the cell's workers is refused with the reason.\n\n" +
 			"Examples:\n  masticcart change --base 12 'create team prism token-hash 9f86d0...0a08 max-accelerators 256'\n" +
 			"  masticcart change --base 13 --dry-run 'set guarantee prism in riga-1 16 accelerators adjacent rack count 2'\n" +
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -139,6 +139,11 @@
 	halted := make(chan Halt, 1)
 	ended := make(chan struct{})
 	a.halts[l.Ref], a.ended[l.Ref] = halted, ended
+	l.Permit = func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.ledger.MayLaunch(time.Now(), l.Ref)
+	}
 	a.running.Add(1)
 	go func() {
 		defer a.running.Done()
--- a/internal/agent/driver.go
+++ b/internal/agent/driver.go
@@ -85,6 +85,11 @@
 	return resp.StatusCode, true, nil
 }
 
+// notPermitted ends a launch that came too late.
+func notPermitted() End {
+	return End{Phase: protocol.TaskStopped, Rejected: true, Reason: "stopped, or past the agent's lease, before the upstream was called"}
+}
+
 // taskID names an attempt at the upstream.
 func taskID(ref protocol.TaskRef) string {
 	return fmt.Sprintf("%s:%s:%d", ref.Job.Team, ref.Job.ID, ref.Attempt)
@@ -117,6 +122,9 @@
 
 // Run implements Driver. A request cannot be halted; it runs to its end.
 func (d *ExecutorDriver) Run(ctx context.Context, l Launch, _ <-chan Halt) End {
+	if !l.Permit() {
+		return notPermitted()
+	}
 	return d.Execute(ctx, taskID(l.Ref), l.Spec.Kind, l.Spec.Payload)
 }
 
@@ -212,6 +220,9 @@
 	id := taskID(l.Ref)
 	body := taskBody{ID: id, Accelerators: l.Units, LeaseMS: protocol.TaskLease.Milliseconds(),
 		Payload: resumePayload(l.Spec, l.Checkpoint)}
+	if !l.Permit() {
+		return notPermitted()
+	}
 	callCtx, cancel := context.WithTimeout(ctx, workerTimeout)
 	var answer taskAnswer
 	status, sent, err := d.client.call(callCtx, http.MethodPost, "/tasks", body, &answer)
--- a/internal/agent/ledger.go
+++ b/internal/agent/ledger.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"sort"
 	"time"
 
@@ -32,6 +31,8 @@
 	Spec       model.JobSpec
 	Units      int
 	Checkpoint json.RawMessage
+	// Permit is asked right before the call that starts the task.
+	Permit func() bool
 }
 
 // Halt asks the driver to stop a task.
@@ -143,9 +144,8 @@
 		return refuse("%d units cannot be held", a.Units)
 	case a.Attempt <= l.fences[key].attempt:
 		return refuse("attempt %d is fenced at %d", a.Attempt, l.fences[key].attempt)
-	case known != nil && known.status.Attempt == a.Attempt && !slices.Equal(known.status.Members, a.Members):
-		// Two entries that both believe to own the cell may use the same number.
-		return refuse("attempt %d is held for another placement", a.Attempt)
+	case known != nil && known.status.Attempt == a.Attempt && known.status.Claim != a.Claim:
+		return refuse("attempt %d is %s here under another claim", a.Attempt, known.status.Phase)
 	case known != nil && known.status.Attempt == a.Attempt && known.status.Phase == protocol.TaskHeld:
 		known.holdUntil = now.Add(protocol.HoldTTL)
 		return protocol.HoldReply{OK: true, Free: l.Free()}
@@ -163,8 +163,8 @@
 	spec := a.Spec
 	spec.Payload = nil
 	t := &task{
-		status: protocol.TaskStatus{Job: key, Attempt: a.Attempt, Units: a.Units, Phase: protocol.TaskHeld,
-			Spec: &spec, Members: a.Members},
+		status: protocol.TaskStatus{Job: key, Attempt: a.Attempt, Claim: a.Claim, Units: a.Units,
+			Phase: protocol.TaskHeld, Spec: &spec, Members: a.Members},
 		holdUntil:  now.Add(protocol.HoldTTL),
 		checkpoint: a.Checkpoint,
 		payload:    a.Spec.Payload,
@@ -191,7 +191,7 @@
 	switch {
 	case a.Incarnation != l.identity.Incarnation:
 		return protocol.StartReply{Reason: "the incarnation is not the agent's own"}, nil
-	case t == nil || t.status.Attempt != a.Task.Attempt:
+	case t == nil || t.status.Ref() != a.Task:
 		return protocol.StartReply{Reason: "nothing is held for this attempt"}, nil
 	case t.status.Started:
 		return protocol.StartReply{OK: true}, nil
@@ -210,14 +210,26 @@
 	return protocol.StartReply{OK: true}, launch
 }
 
+// MayLaunch reports whether a started task may still be given to the upstream. The agent may have been paused
+// between its answer to the start and the call, for longer than its lease.
+func (l *Ledger) MayLaunch(now time.Time, ref protocol.TaskRef) bool {
+	t := l.tasks[ref.Job]
+	return t != nil && t.status.Ref() == ref && t.status.Phase == protocol.TaskRunning && !now.After(l.leaseUntil)
+}
+
 // Stop fences an attempt and all before it. It returns a reply when nothing of it runs here; otherwise the
 // reply is nil, the task is stopping and the caller waits for Ended. A halt is returned once per task.
 func (l *Ledger) Stop(now time.Time, a protocol.StopArgs) (*protocol.StopReply, *Halt) {
 	if a.Incarnation != l.identity.Incarnation {
 		return &protocol.StopReply{}, nil
 	}
-	l.fenceAttempt(now, a.Task)
 	t := l.tasks[a.Task.Job]
+	if t != nil && t.status.Attempt == a.Task.Attempt && t.status.Claim != a.Task.Claim {
+		// Another entry's attempt of the same number. The one to stop is not here, and no hold for it is accepted
+		// while this one stands.
+		return &protocol.StopReply{OK: true}, nil
+	}
+	l.fenceAttempt(now, a.Task)
 	if t == nil || t.status.Attempt > a.Task.Attempt {
 		return &protocol.StopReply{OK: true}, nil
 	}
@@ -241,11 +253,11 @@
 	t.status.Phase = protocol.TaskStopping
 	t.status.Reason = reason
 	l.touch(t)
-	return &Halt{Ref: protocol.TaskRef{Job: t.status.Job, Attempt: t.status.Attempt}, Checkpoint: checkpoint, Reason: reason}
+	return &Halt{Ref: t.status.Ref(), Checkpoint: checkpoint, Reason: reason}
 }
 
 func (l *Ledger) remove(now time.Time, t *task) {
-	ref := protocol.TaskRef{Job: t.status.Job, Attempt: t.status.Attempt}
+	ref := t.status.Ref()
 	delete(l.tasks, ref.Job)
 	l.changes++
 	l.tombstones = append(l.tombstones, tombstone{ref: ref, at: now, change: l.changes})
@@ -254,7 +266,7 @@
 // Ended records the end of a task as seen by the driver. For a stopped task the output is its checkpoint.
 func (l *Ledger) Ended(ref protocol.TaskRef, phase protocol.TaskPhase, output json.RawMessage, reason string) {
 	t := l.tasks[ref.Job]
-	if t == nil || t.status.Attempt != ref.Attempt || t.status.Phase.Terminal() {
+	if t == nil || t.status.Ref() != ref || t.status.Phase.Terminal() {
 		return
 	}
 	if len(output) > MaxOutputBytes {
@@ -269,7 +281,7 @@
 // Rejected records that the upstream refused a launch, which proves that the attempt did not start.
 func (l *Ledger) Rejected(ref protocol.TaskRef, reason string) {
 	t := l.tasks[ref.Job]
-	if t == nil || t.status.Attempt != ref.Attempt || t.status.Phase.Terminal() {
+	if t == nil || t.status.Ref() != ref || t.status.Phase.Terminal() {
 		return
 	}
 	t.status.Phase, t.status.Started, t.status.Reason = protocol.TaskStopped, false, reason
@@ -279,7 +291,7 @@
 // StopResult returns the reply to a stop of this attempt, or nil while it still runs.
 func (l *Ledger) StopResult(ref protocol.TaskRef) *protocol.StopReply {
 	t := l.tasks[ref.Job]
-	if t == nil || t.status.Attempt != ref.Attempt {
+	if t == nil || t.status.Ref() != ref {
 		return &protocol.StopReply{OK: true}
 	}
 	if !t.status.Phase.Terminal() {
@@ -292,7 +304,7 @@
 func (l *Ledger) Forget(now time.Time, refs []protocol.TaskRef) {
 	for _, ref := range refs {
 		t := l.tasks[ref.Job]
-		if t != nil && t.status.Attempt == ref.Attempt && t.status.Phase.Terminal() {
+		if t != nil && t.status.Ref() == ref && t.status.Phase.Terminal() {
 			l.fenceAttempt(now, ref)
 			l.remove(now, t)
 		}
@@ -307,7 +319,7 @@
 	for _, t := range l.tasks {
 		switch {
 		case t.status.Phase == protocol.TaskHeld && now.After(t.holdUntil):
-			l.fenceAttempt(now, protocol.TaskRef{Job: t.status.Job, Attempt: t.status.Attempt})
+			l.fenceAttempt(now, t.status.Ref())
 			l.remove(now, t)
 		case t.status.Phase == protocol.TaskRunning && t.status.Spec.Shape.UsesAccelerators() && now.After(l.leaseUntil):
 			halts = append(halts, *l.halt(t, true, "no owner acknowledged a heartbeat within the agent's lease"))
@@ -348,7 +360,7 @@
 	var out []protocol.TaskStatus
 	for _, s := range l.tombstones {
 		if s.change > change && l.tasks[s.ref.Job] == nil {
-			out = append(out, protocol.TaskStatus{Job: s.ref.Job, Attempt: s.ref.Attempt, Phase: protocol.TaskRemoved})
+			out = append(out, protocol.TaskStatus{Job: s.ref.Job, Attempt: s.ref.Attempt, Claim: s.ref.Claim, Phase: protocol.TaskRemoved})
 		}
 	}
 	for _, t := range l.tasks {
--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/jobs"
@@ -16,7 +18,7 @@
 // beginHold asks every member of a placement for its units.
 func (c *Coordinator) beginHold(now time.Time, j *job, p placement.Placement) {
 	j.phase = phaseHolding
-	j.attempt = &attempt{number: j.nextAttempt, guaranteed: p.Guaranteed, since: now}
+	j.attempt = &attempt{number: j.nextAttempt, claim: uuid.NewString(), guaranteed: p.Guaranteed, created: now, since: now}
 	j.reason, j.wouldChange = "", ""
 	for _, m := range p.Members {
 		j.attempt.members = append(j.attempt.members, &member{Member: m, askedAt: now})
@@ -42,7 +44,7 @@
 	members := j.attempt.modelMembers()
 	for _, m := range j.attempt.members {
 		c.emit(HoldAction{Agent: m.Agent, Args: protocol.HoldArgs{
-			Incarnation: m.Incarnation, Attempt: j.attempt.number, Units: m.Units,
+			Incarnation: m.Incarnation, Attempt: j.attempt.number, Claim: j.attempt.claim, Units: m.Units,
 			Spec: j.record.Job.Spec, Members: members, Checkpoint: j.record.Job.Checkpoint,
 		}})
 	}
@@ -59,10 +61,15 @@
 	c.sendHolds(j)
 }
 
+// ref names the attempt in progress.
+func (j *job) ref() protocol.TaskRef {
+	return protocol.TaskRef{Job: j.key, Attempt: j.attempt.number, Claim: j.attempt.claim}
+}
+
 // current returns the job if this attempt is the one in progress.
-func (c *Coordinator) current(key model.JobKey, number int) *job {
-	j := c.jobs[key]
-	if j == nil || j.attempt == nil || j.attempt.number != number {
+func (c *Coordinator) current(ref protocol.TaskRef) *job {
+	j := c.jobs[ref.Job]
+	if j == nil || j.attempt == nil || j.ref() != ref {
 		return nil
 	}
 	return j
@@ -71,7 +78,7 @@
 // HoldAnswered takes the answer to a HoldAction. A failed call counts as a refusal; the hold may stand until
 // it is stopped or expires.
 func (c *Coordinator) HoldAnswered(now time.Time, a HoldAction, reply protocol.HoldReply, err error) {
-	j := c.current(a.Args.Spec.Key, a.Args.Attempt)
+	j := c.current(protocol.TaskRef{Job: a.Args.Spec.Key, Attempt: a.Args.Attempt, Claim: a.Args.Claim})
 	if j == nil || j.phase != phaseHolding {
 		return
 	}
@@ -103,23 +110,27 @@
 func (c *Coordinator) commit(now time.Time, j *job) {
 	next := j.record.Job
 	next.State, next.Attempt, next.Members = model.JobClaimed, j.attempt.number, j.attempt.modelMembers()
-	next.Guaranteed, next.Claimed = j.attempt.guaranteed, now.UTC()
+	next.Claim, next.Guaranteed, next.Claimed = j.attempt.claim, j.attempt.guaranteed, now.UTC()
 	j.phase, j.attempt.since = phaseCommitting, now
-	c.emit(WriteAction{Purpose: WriteClaim, Attempt: j.attempt.number, Record: jobs.Record{Job: next, Revision: j.record.Revision}})
+	c.emit(WriteAction{Purpose: WriteClaim, Attempt: j.ref(), Record: jobs.Record{Job: next, Revision: j.record.Revision}})
 }
 
 // Written takes the answer to a WriteAction.
 func (c *Coordinator) Written(now time.Time, a WriteAction, r jobs.Record, err error) {
-	j := c.current(a.Record.Job.Spec.Key, a.Attempt)
-	if j == nil && a.Attempt == 0 { // a refusal of a job that was never attempted
-		j = c.jobs[a.Record.Job.Spec.Key]
+	j := c.current(a.Attempt)
+	if a.Attempt.Claim == "" { // a refusal of a job that waits
+		j = c.jobs[a.Attempt.Job]
 	}
 	if j == nil {
 		return
 	}
-	if a.Purpose == WriteClaim {
+	switch a.Purpose {
+	case WriteClaim:
 		c.claimWritten(now, j, r, err)
 		return
+	case WriteRevoke:
+		c.revokeWritten(now, j, r, err)
+		return
 	}
 	if j.phase != phaseWriting {
 		return
@@ -138,7 +149,15 @@
 		c.drop(j)
 		return
 	}
-	c.toWaiting(now, j, 0)
+	c.toWaiting(now, j, failurePause(r.Job.Failures))
+}
+
+// failurePause keeps a job that fails again and again from using up the cell and the platform.
+func failurePause(failures int) time.Duration {
+	if failures == 0 {
+		return 0
+	}
+	return failureDelay << min(failures-1, maxFailures)
 }
 
 func (c *Coordinator) claimWritten(now time.Time, j *job, r jobs.Record, err error) {
@@ -149,7 +168,7 @@
 	case err == nil && r.Revision > j.record.Revision:
 		j.record = r
 		if j.phase == phaseWriting && j.pending == nil {
-			c.settle(now, j)
+			c.resumeStop(now, j)
 		}
 	case err != nil && j.phase == phaseCommitting:
 		c.stopAttempt(now, j, ending{requeue: true, reason: "claim not recorded: " + err.Error()})
@@ -167,13 +186,13 @@
 func (c *Coordinator) sendStart(now time.Time, j *job, m *member) {
 	m.askedAt = now
 	c.emit(StartAction{Agent: m.Agent, Args: protocol.StartArgs{Incarnation: m.Incarnation,
-		Task: protocol.TaskRef{Job: j.key, Attempt: j.attempt.number}}})
+		Task: j.ref()}})
 }
 
 // StartAnswered takes the answer to a StartAction. A failed call is repeated until the member answers or
 // counts as lost, since a start is idempotent.
 func (c *Coordinator) StartAnswered(now time.Time, a StartAction, reply protocol.StartReply, err error) {
-	j := c.current(a.Args.Task.Job, a.Args.Task.Attempt)
+	j := c.current(a.Args.Task)
 	if j == nil || j.phase != phaseStarting {
 		return
 	}
@@ -238,28 +257,21 @@
 // memberFailed decides between the job and the worker: a job that fails on several workers is at fault, a
 // worker on which several jobs fail is.
 func (c *Coordinator) memberFailed(now time.Time, j *job, m *member) {
-	r := &j.record.Job
+	r := j.record.Job
 	c.recordFailure(now, m.Agent, j.key, r.FailedOn)
-	if !contains(r.FailedOn, m.Agent) {
-		r.FailedOn = append(append([]string(nil), r.FailedOn...), m.Agent)
+	j.attempt.failedOn = m.Agent
+	distinct := len(r.FailedOn)
+	if !slices.Contains(r.FailedOn, m.Agent) {
+		distinct++
 	}
 	reason := fmt.Sprintf("failed at %s: %s", m.Agent, m.reason)
-	if !r.Spec.Idempotent || len(r.FailedOn) >= min(maxDistinctFailures, c.usable(r.Spec)) {
+	if !r.Spec.Idempotent || distinct >= maxDistinctFailures || r.Failures+1 >= maxFailures {
 		c.stopAttempt(now, j, ending{result: model.ResultFailed, reason: reason})
 		return
 	}
 	c.stopAttempt(now, j, ending{requeue: true, reason: reason})
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // outputs joins the members' outputs: the output itself for a single member, else an array in member order.
 func outputs(a *attempt) (json.RawMessage, error) {
 	if len(a.members) == 1 {
--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -132,13 +132,11 @@
 	}
 }
 
-// loadedFinished ends whatever still goes on for a job that someone else finished.
+// loadedFinished ends whatever still goes on for a job that someone else finished. Tasks that do not hear the
+// stop are orphans from now on.
 func (c *Coordinator) loadedFinished(now time.Time, j *job) {
-	if a := j.attempt; a != nil && j.phase != phaseWriting && !a.all(func(m *member) bool { return m.resolved }) {
-		if j.phase != phaseStopping {
-			c.stopAttempt(now, j, ending{requeue: true, reason: "the job is finished"})
-		}
-		return
+	if j.attempt != nil {
+		c.sendStops(now, j, "the job is finished")
 	}
 	c.drop(j)
 }
@@ -149,16 +147,13 @@
 	switch {
 	case a == nil:
 		c.adopt(now, j)
-	case j.phase == phaseWriting:
-		if j.pending == nil {
-			c.settle(now, j) // the last write failed, or the record was not known before
-		}
-	case j.phase == phaseCommitting && a.names(r):
-		// The answer to the claim is still on its way.
-	case j.phase == phaseHolding || j.phase == phaseCommitting || j.phase == phaseStopping:
-		c.stopAttempt(now, j, ending{requeue: true, reason: "another owner claimed the job"})
 	case !a.names(r):
-		c.adopt(now, j)
+		c.stopAttempt(now, j, ending{requeue: true, reason: "another owner claimed the job"})
+		return
+	case j.phase == phaseWriting && j.pending == nil:
+		c.resumeStop(now, j) // the last write failed, or the record was not known before
+	case r.Revoked && a.revoked.IsZero() && j.phase != phaseWriting:
+		c.stopRevoked(now, j)
 	}
 	if r.CancelRequested {
 		c.cancelRunning(now, j)
@@ -172,14 +167,13 @@
 		}
 		return
 	}
-	switch j.phase {
-	case phaseRunning, phaseStarting:
-		// The record has left this attempt behind.
+	switch {
+	case j.phase == phaseRunning || j.phase == phaseStarting:
 		c.stopAttempt(now, j, ending{requeue: true, reason: "the record no longer names this attempt"})
-	case phaseWriting:
-		if j.pending == nil && j.attempt.all(func(m *member) bool { return m.resolved }) {
-			c.toWaiting(now, j, retryDelay)
-		}
+	case j.phase == phaseStopping:
+		c.settle(now, j)
+	case j.phase == phaseWriting && j.pending == nil:
+		c.toWaiting(now, j, retryDelay)
 	}
 }
 
@@ -208,13 +202,17 @@
 // harmless: an agent answers yes for an attempt that already started.
 func (c *Coordinator) adopt(now time.Time, j *job) {
 	r := j.record.Job
-	a := &attempt{number: r.Attempt, guaranteed: r.Guaranteed, since: now}
+	a := &attempt{number: r.Attempt, claim: r.Claim, guaranteed: r.Guaranteed, created: now, since: now}
 	for _, m := range r.Members {
 		a.members = append(a.members, &member{Member: m})
 	}
 	j.attempt = a
 	j.nextAttempt = max(j.nextAttempt, r.Attempt+1)
-	klog.InfoS("Adopted attempt", "cell", c.cell, "job", j.key, "attempt", a.number, "members", len(a.members))
+	klog.InfoS("Adopted attempt", "cell", c.cell, "job", j.key, "attempt", a.number, "members", len(a.members), "revoked", r.Revoked)
+	if r.Revoked {
+		c.stopRevoked(now, j)
+		return
+	}
 	c.startMembers(now, j)
 	c.observeKnown(now, j)
 }
@@ -227,7 +225,7 @@
 		if u == nil || u.identity.Incarnation != m.Incarnation {
 			continue
 		}
-		if t := u.tasks[j.key]; t != nil && t.status.Attempt == j.attempt.number {
+		if t := u.tasks[j.key]; t != nil && t.status.Ref() == j.ref() {
 			c.observe(now, j, m, t.status)
 		}
 	}
@@ -239,12 +237,12 @@
 	if c.listed || c.jobs[s.Job] != nil || !s.Started || s.Phase.Terminal() || len(s.Members) == 0 || s.Spec == nil {
 		return
 	}
-	a := &attempt{number: s.Attempt, since: now}
+	a := &attempt{number: s.Attempt, claim: s.Claim, created: now, since: now}
 	for _, m := range s.Members {
 		a.members = append(a.members, &member{Member: m})
 	}
 	j := &job{key: s.Job, phase: phaseRunning, attempt: a, nextAttempt: s.Attempt + 1}
-	j.record.Job = model.Job{Spec: *s.Spec, Cell: c.cell, State: model.JobClaimed, Attempt: s.Attempt, Members: s.Members}
+	j.record.Job = model.Job{Spec: *s.Spec, Cell: c.cell, State: model.JobClaimed, Attempt: s.Attempt, Claim: s.Claim, Members: s.Members}
 	c.jobs[s.Job] = j
 	klog.InfoS("Supervising attempt from an agent's report", "cell", c.cell, "job", s.Job, "attempt", s.Attempt, "agent", u.identity.Agent)
 	c.observeKnown(now, j)
@@ -304,7 +302,7 @@
 		if m.phase.Terminal() {
 			continue
 		}
-		if why := c.lost(now, m); why != "" {
+		if why := c.lost(now, j.attempt, m); why != "" {
 			m.uncertain = true
 			c.stopAttempt(now, j, c.endingAfterLoss(j, "member "+m.Agent+" lost: "+why))
 			return
@@ -330,14 +328,14 @@
 }
 
 // lost returns why a member no longer counts as running, or "".
-func (c *Coordinator) lost(now time.Time, m *member) string {
+func (c *Coordinator) lost(now time.Time, a *attempt, m *member) string {
 	u := c.upstreams[m.Agent]
 	switch {
 	case u == nil:
 		if now.Sub(c.ownedAt) > protocol.MemberTimeout {
 			return "never reported to this owner"
 		}
-	case u.identity.Incarnation != m.Incarnation:
+	case restarted(u, m, a):
 		return "its agent restarted"
 	case u.silent(now) && now.Sub(c.ownedAt) > protocol.MemberTimeout:
 		return "silent for " + now.Sub(u.lastSeen).Round(time.Millisecond).String()
@@ -345,6 +343,20 @@
 	return ""
 }
 
+// restarted reports that the agent was heard with another incarnation since the attempt was made. A view from
+// before that may be of an older incarnation than the member's.
+func restarted(u *upstream, m *member, a *attempt) bool {
+	return u.identity.Incarnation != m.Incarnation && u.lastSeen.After(a.created)
+}
+
+// stopRevoked stops an attempt that the record revokes.
+func (c *Coordinator) stopRevoked(now time.Time, j *job) {
+	if j.attempt.revoked.IsZero() {
+		j.attempt.revoked = now
+	}
+	c.stopAttempt(now, j, c.endingAfterLoss(j, "the attempt was revoked"))
+}
+
 // endingAfterLoss requeues idempotent work; other work may have run and is not repeated.
 func (c *Coordinator) endingAfterLoss(j *job, reason string) ending {
 	if j.record.Job.Spec.Idempotent {
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -78,17 +78,6 @@
 	return out, all
 }
 
-// usable counts the upstreams on which the job could be tried.
-func (c *Coordinator) usable(spec model.JobSpec) int {
-	n := 0
-	for _, u := range c.upstreams {
-		if u.identity.Service == spec.Service {
-			n++
-		}
-	}
-	return n
-}
-
 // estimates learns run times per team and kind, since declared ones are far off.
 type estimates map[estimateKey]*estimate
 
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -60,7 +60,7 @@
 		o = model.Outcome{Result: model.ResultFailed, Ran: true, Reason: x.Reason}
 	}
 	klog.InfoS("Refused job", "cell", c.cell, "job", j.key, "team", j.key.Team, "reason", x.Reason)
-	w := WriteAction{Purpose: WriteFinish, Record: jobs.Record{Job: jobs.Finished(j.record.Job, o, now), Revision: j.record.Revision}}
+	w := WriteAction{Purpose: WriteFinish, Attempt: protocol.TaskRef{Job: j.key}, Record: jobs.Record{Job: jobs.Finished(j.record.Job, o, now), Revision: j.record.Revision}}
 	j.phase, j.pending, j.notBefore = phaseWriting, &w, now.Add(platformRetry)
 	c.emit(w)
 }
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -223,7 +223,7 @@
 
 func (s *Service) write(ctx context.Context, a WriteAction) {
 	r, err := s.store.Write(ctx, a.Record.Job, a.Record.Revision)
-	if err == nil && a.Purpose == WriteRequeue {
+	if err == nil && (a.Purpose == WriteRequeue || a.Purpose == WriteRevoke) {
 		// Another entry that also believes to be owner must not go on with the old attempt.
 		s.store.Touch(ctx, s.cell, a.Record.Job.Spec.Key)
 	}
--- a/internal/cell/stop.go
+++ b/internal/cell/stop.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -23,20 +24,40 @@
 		}
 		j.phase, a.since = phaseStopping, now
 		j.reason = e.reason
-		for _, m := range a.members {
-			if !m.resolved {
-				c.sendStop(now, j, m)
-			}
-		}
+		c.sendStops(now, j, e.reason)
+	}
+	if j.loaded && !a.claimedBy(j.record.Job) {
+		// No start was sent for an attempt that the record does not name, so there is nothing to wait for.
+		c.settle(now, j)
+		return
 	}
 	c.settleIfResolved(now, j)
 }
 
-func (c *Coordinator) sendStop(now time.Time, j *job, m *member) {
+// resumeStop goes on with an attempt that turned out to be recorded after it was given up.
+func (c *Coordinator) resumeStop(now time.Time, j *job) {
+	if !j.attempt.all(func(m *member) bool { return m.resolved }) {
+		j.phase, j.attempt.since = phaseStopping, now
+		c.sendStops(now, j, j.reason)
+		return
+	}
+	c.settle(now, j)
+}
+
+func (c *Coordinator) sendStops(now time.Time, j *job, reason string) {
+	for _, m := range j.attempt.members {
+		if !m.resolved {
+			c.sendStop(now, j, m, reason)
+		}
+	}
+}
+
+func (c *Coordinator) sendStop(now time.Time, j *job, m *member, reason string) {
 	m.askedAt = now
+	e := j.attempt.ending
 	c.emit(StopAction{Agent: m.Agent, Args: protocol.StopArgs{
-		Incarnation: m.Incarnation, Task: protocol.TaskRef{Job: j.key, Attempt: j.attempt.number},
-		Checkpoint: j.attempt.ending.checkpoint, Reason: j.attempt.ending.reason,
+		Incarnation: m.Incarnation, Task: j.ref(),
+		Checkpoint: e != nil && e.checkpoint, Reason: reason,
 	}})
 }
 
@@ -46,30 +67,59 @@
 		if m.resolved {
 			continue
 		}
-		if c.certainlyEnded(now, m) {
+		if c.certainlyEnded(now, j.attempt, m) {
 			m.resolved, m.uncertain = true, true
 			continue
 		}
 		if now.Sub(m.askedAt) >= stopResend {
-			c.sendStop(now, j, m)
+			c.sendStop(now, j, m, j.reason)
 		}
 	}
 	c.settleIfResolved(now, j)
+	c.revokeUnanswered(now, j)
 }
 
 // certainlyEnded reports that nothing of the member can run any more: its agent restarted, which stops what
-// was left, or no owner has extended its lease for so long that the agent and the platform have stopped it.
-func (c *Coordinator) certainlyEnded(now time.Time, m *member) bool {
+// was left, or the attempt was revoked so long ago that no owner can have extended its lease since.
+func (c *Coordinator) certainlyEnded(now time.Time, a *attempt, m *member) bool {
 	u := c.upstreams[m.Agent]
-	if u == nil {
-		return now.Sub(c.ownedAt) > leaseCertainty
+	if u != nil && restarted(u, m, a) {
+		return true
+	}
+	return !a.revoked.IsZero() && now.Sub(a.revoked) > leaseCertainty && (u == nil || now.Sub(u.lastOwned) > leaseCertainty)
+}
+
+// revokeUnanswered records that the attempt is to end when a member does not answer. An entry that is cut off
+// from this one may still acknowledge that member's heartbeats; it reads the record and stops as well.
+func (c *Coordinator) revokeUnanswered(now time.Time, j *job) {
+	a, r := j.attempt, j.record.Job
+	waiting := j.phase == phaseStopping && now.Sub(a.since) > revokeDelay && !now.Before(j.notBefore)
+	if !waiting || !a.revoked.IsZero() || !j.loaded || !a.claimedBy(r) {
+		return
+	}
+	j.notBefore = now.Add(platformRetry)
+	next := r
+	next.Revoked = true
+	klog.InfoS("Revoking attempt", "cell", c.cell, "job", j.key, "attempt", a.number)
+	c.emit(WriteAction{Purpose: WriteRevoke, Attempt: j.ref(), Record: jobs.Record{Job: next, Revision: j.record.Revision}})
+}
+
+func (c *Coordinator) revokeWritten(now time.Time, j *job, r jobs.Record, err error) {
+	if err != nil {
+		c.emit(LoadAction{Job: j.key})
+		return
+	}
+	if r.Revision > j.record.Revision {
+		j.record = r
+	}
+	if j.attempt.revoked.IsZero() {
+		j.attempt.revoked = now
 	}
-	return u.identity.Incarnation != m.Incarnation || now.Sub(u.lastOwned) > leaseCertainty
 }
 
 // StopAnswered takes the answer to a StopAction.
 func (c *Coordinator) StopAnswered(now time.Time, a StopAction, reply protocol.StopReply, err error) {
-	j := c.current(a.Args.Task.Job, a.Args.Task.Attempt)
+	j := c.current(a.Args.Task)
 	if j == nil || j.phase != phaseStopping || err != nil || !reply.OK {
 		return // repeated by resendStops, or resolved by certainlyEnded
 	}
@@ -104,7 +154,7 @@
 	case r.State == model.JobFinished:
 		c.drop(j)
 		return
-	case r.State == model.JobClaimed && a.names(r):
+	case a.claimedBy(r):
 	case r.State == model.JobClaimed:
 		c.adopt(now, j) // another owner claimed it
 		return
@@ -113,7 +163,7 @@
 		return
 	}
 	next, purpose := c.nextRecord(now, j)
-	w := WriteAction{Purpose: purpose, Attempt: a.number, Record: jobs.Record{Job: next, Revision: j.record.Revision}}
+	w := WriteAction{Purpose: purpose, Attempt: j.ref(), Record: jobs.Record{Job: next, Revision: j.record.Revision}}
 	j.phase, j.pending, j.notBefore = phaseWriting, &w, now.Add(platformRetry)
 	c.emit(w)
 }
@@ -136,6 +186,12 @@
 		done = done && m.phase == protocol.TaskDone
 	}
 	ran := r.Ran || started || uncertain
+	if a.failedOn != "" {
+		r.Failures++
+		if !slices.Contains(r.FailedOn, a.failedOn) {
+			r.FailedOn = append(slices.Clone(r.FailedOn), a.failedOn)
+		}
+	}
 	e := a.ending
 	switch {
 	case done:
@@ -163,7 +219,7 @@
 }
 
 func (c *Coordinator) requeued(r model.Job, a *attempt, ran bool) model.Job {
-	r.State, r.Members, r.Guaranteed, r.Ran = model.JobAccepted, nil, false, ran
+	r.State, r.Members, r.Guaranteed, r.Ran, r.Revoked = model.JobAccepted, nil, false, ran, false
 	if m := a.members[0]; m.phase == protocol.TaskStopped && len(m.output) > 0 {
 		r.Checkpoint = m.output
 	}
--- a/internal/cell/types.go
+++ b/internal/cell/types.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"masticcart.example/masticcart/internal/jobs"
@@ -38,7 +37,7 @@
 // WriteAction writes a job record by compare-and-swap; answered by Written.
 type WriteAction struct {
 	Record  jobs.Record
-	Attempt int
+	Attempt protocol.TaskRef // without a claim for a job that waits
 	Purpose WritePurpose
 }
 
@@ -61,6 +60,7 @@
 // The transitions that the owner of a cell writes.
 const (
 	WriteClaim   WritePurpose = "claim"
+	WriteRevoke  WritePurpose = "revoke"
 	WriteRequeue WritePurpose = "requeue"
 	WriteFinish  WritePurpose = "finish"
 )
@@ -90,8 +90,13 @@
 	startResend  = 500 * time.Millisecond
 	// stopResend repeats stops that were not answered.
 	stopResend = 1 * time.Second
-	// leaseCertainty is how long after a member's last acknowledged heartbeat its tasks have certainly ended.
-	leaseCertainty = protocol.AgentLease + protocol.TaskLease
+	// leaseCertainty is how long after the last acknowledged heartbeat a member's tasks have certainly ended. It
+	// counts from the revocation of the attempt, since another entry may have acknowledged heartbeats until it
+	// read that; watchDelay is the time that reading may take.
+	leaseCertainty = protocol.AgentLease + protocol.TaskLease + watchDelay
+	watchDelay     = 2 * time.Second
+	// revokeDelay gives the members time to answer the stop before the record is written.
+	revokeDelay = 2 * time.Second
 	// retryDelay keeps a job that could not be held or committed out of the next plans.
 	retryDelay = 250 * time.Millisecond
 	// platformRetry spaces the calls for one job while the platform is down.
@@ -101,8 +106,11 @@
 	// orphanDelay is how long a task may be unknown to the owner before it is stopped or forgotten. The job may
 	// be on its way through the platform's watch.
 	orphanDelay = 5 * time.Second
-	// maxDistinctFailures ends a job that failed on as many workers.
+	// maxDistinctFailures ends a job that failed on as many workers, maxFailures one that failed as often on fewer.
 	maxDistinctFailures = 3
+	maxFailures         = 5
+	// failureDelay is the pause after the first failure; it doubles with each further one.
+	failureDelay = 500 * time.Millisecond
 	// maxGangOutputBytes keeps the finished record under the platform's limit of 1 MB.
 	maxGangOutputBytes = 512 << 10
 )
@@ -130,10 +138,14 @@
 
 type attempt struct {
 	number     int
+	claim      string
 	members    []*member
 	guaranteed bool
+	created    time.Time // when this owner made or adopted the attempt
 	since      time.Time // start of the phase
+	revoked    time.Time // when this owner knew that the record revokes the attempt
 	ending     *ending   // set in phase stopping
+	failedOn   string    // the upstream on which a task failed
 }
 
 func (a *attempt) member(agent string) *member {
@@ -154,11 +166,11 @@
 	return true
 }
 
-// names reports whether the record's claim is this attempt. The number alone does not tell: two entries that
-// both believe to own the cell may have used the same one for different members.
-func (a *attempt) names(r model.Job) bool {
-	return r.Attempt == a.number && slices.Equal(r.Members, a.modelMembers())
-}
+// names reports whether the record's claim is this attempt.
+func (a *attempt) names(r model.Job) bool { return r.Attempt == a.number && r.Claim == a.claim }
+
+// claimedBy reports whether the record says that this attempt may run.
+func (a *attempt) claimedBy(r model.Job) bool { return r.State == model.JobClaimed && a.names(r) }
 
 func (a *attempt) modelMembers() []model.Member {
 	out := make([]model.Member, len(a.members))
--- a/internal/cell/upstreams.go
+++ b/internal/cell/upstreams.go
@@ -51,7 +51,7 @@
 	u.lastOwned = now
 	var forget []protocol.TaskRef
 	for _, t := range u.tasks {
-		ref := protocol.TaskRef{Job: t.status.Job, Attempt: t.status.Attempt}
+		ref := t.status.Ref()
 		if t.status.Phase.Terminal() && c.recorded(now, t, ref) {
 			forget = append(forget, ref)
 		}
@@ -84,7 +84,7 @@
 		if !c.owner {
 			continue
 		}
-		if j := c.current(s.Job, s.Attempt); j != nil {
+		if j := c.current(s.Ref()); j != nil {
 			if m := j.attempt.member(u.identity.Agent); m != nil && m.Incarnation == u.identity.Incarnation {
 				c.observe(now, j, m, s)
 			}
@@ -100,12 +100,12 @@
 		if u.tasks[key] != nil {
 			continue
 		}
-		j := c.current(key, t.status.Attempt)
+		j := c.current(t.status.Ref())
 		if j == nil || (j.phase != phaseStarting && j.phase != phaseRunning) {
 			continue
 		}
 		if m := j.attempt.member(u.identity.Agent); m != nil && m.Incarnation == u.identity.Incarnation {
-			c.observe(now, j, m, protocol.TaskStatus{Job: key, Attempt: t.status.Attempt, Phase: protocol.TaskRemoved})
+			c.observe(now, j, m, protocol.TaskStatus{Job: key, Attempt: t.status.Attempt, Claim: t.status.Claim, Phase: protocol.TaskRemoved})
 		}
 	}
 }
@@ -123,7 +123,7 @@
 				t.seen = now // at most one stop in each delay
 				klog.InfoS("Stopping orphaned task", "cell", c.cell, "job", s.Job, "attempt", s.Attempt, "agent", id)
 				c.emit(StopAction{Agent: id, Args: protocol.StopArgs{Incarnation: u.identity.Incarnation,
-					Task: protocol.TaskRef{Job: s.Job, Attempt: s.Attempt}, Reason: "no record calls for this attempt"}})
+					Task: s.Ref(), Reason: "no record calls for this attempt"}})
 			}
 		}
 	}
@@ -134,7 +134,7 @@
 	if j == nil {
 		return true
 	}
-	return j.loaded && j.record.Job.Attempt > s.Attempt && (j.attempt == nil || j.attempt.number != s.Attempt)
+	return j.loaded && j.record.Job.Attempt > s.Attempt && (j.attempt == nil || j.ref() != s.Ref())
 }
 
 // forgetUpstream is how long a silent upstream still counts in the inventory that guarantees are checked
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -164,8 +165,18 @@
 
 func weight(cell, entry string) uint64 { return xxhash.Sum64String(cell + "\x00" + entry) }
 
-// Owner reports whether this entry is the first in its own cell's order.
+// Owner reports whether this entry is the first in its own cell's order. An entry that hears a peer which does
+// not hear it leaves the cell to that peer: in a cut of one direction only, both would otherwise own the cell
+// for as long as the cut lasts.
 func (t *Table) Owner(now time.Time) bool {
 	order := t.Order(t.self.Cell, now)
-	return len(order) > 0 && order[0].Entry == t.self.Entry
+	if len(order) == 0 || order[0].Entry != t.self.Entry {
+		return false
+	}
+	for _, g := range order[1:] {
+		if !g.Leaving && !slices.Contains(g.Peers, t.self.Address) {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -113,10 +113,16 @@
 	// Attempt counts claims. While accepted it is the number of the last claimed attempt.
 	Attempt int      `json:"attempt"`
 	Members []Member `json:"members,omitempty"`
+	// Claim identifies the claim of the attempt. The number alone does not: two entries that both believe to own
+	// the cell may use the same one.
+	Claim string `json:"claim,omitempty"`
+	// Revoked asks every entry that supervises the attempt to stop it and no longer to extend its leases.
+	Revoked bool `json:"revoked,omitempty"`
 	// Ran is true if an earlier attempt may have run. A claimed attempt may have run as well.
 	Ran             bool     `json:"ran"`
 	CancelRequested bool     `json:"cancel_requested,omitempty"`
 	FailedOn        []string `json:"failed_on,omitempty"` // workers on which an attempt failed
+	Failures        int      `json:"failures,omitempty"`  // attempts that failed
 	// Checkpoint is what the last preempted attempt saved.
 	Checkpoint json.RawMessage `json:"checkpoint,omitempty"`
 	Outcome    *Outcome        `json:"outcome,omitempty"`
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -92,6 +92,7 @@
 type TaskStatus struct {
 	Job     model.JobKey    `json:"job"`
 	Attempt int             `json:"attempt"`
+	Claim   string          `json:"claim"`
 	Units   int             `json:"units"`
 	Phase   TaskPhase       `json:"phase"`
 	Started bool            `json:"started"` // whether this attempt ever started here
@@ -101,6 +102,9 @@
 	Members []model.Member  `json:"members,omitempty"` // sent with announcements only
 }
 
+// Ref names the attempt of the status.
+func (s TaskStatus) Ref() TaskRef { return TaskRef{Job: s.Job, Attempt: s.Attempt, Claim: s.Claim} }
+
 // AnnounceArgs opens a session. It carries the agent's full state.
 type AnnounceArgs struct {
 	Identity      Identity     `json:"identity"`
@@ -124,10 +128,11 @@
 	Leaving       bool          `json:"leaving,omitempty"`
 }
 
-// TaskRef names one attempt of a job.
+// TaskRef names one attempt of a job as one owner claims it.
 type TaskRef struct {
 	Job     model.JobKey `json:"job"`
 	Attempt int          `json:"attempt"`
+	Claim   string       `json:"claim"`
 }
 
 // HeartbeatReply acknowledges an announcement or a heartbeat. Only an owner's reply extends AgentLease.
@@ -164,6 +169,7 @@
 type HoldArgs struct {
 	Incarnation string         `json:"incarnation"`
 	Attempt     int            `json:"attempt"`
+	Claim       string         `json:"claim"`
 	Units       int            `json:"units"`
 	Spec        model.JobSpec  `json:"spec"`
 	Members     []model.Member `json:"members"`
--- a/internal/query/change.go
+++ b/internal/query/change.go
@@ -129,8 +129,10 @@
 		return c.Set.Guarantee.set()
 	case c.Set != nil && c.Set.Rule != nil:
 		return c.Set.Rule.set()
-	case c.Set != nil:
+	case c.Set != nil && c.Set.Weights != nil:
 		return c.Set.Weights.set()
+	case c.Set != nil:
+		return setOperators(c.Set.Operators)
 	case c.Remove.Team != nil:
 		return removeTeam(*c.Remove.Team)
 	case c.Remove.Guarantee != nil:
@@ -150,9 +152,9 @@
 	for _, o := range t.Options {
 		switch {
 		case o.TokenHash != nil:
-			h := strings.ToLower(o.TokenHash.Text)
-			if _, err := hex.DecodeString(h); err != nil || len(h) != tokenHashChars {
-				return u, "", errorAt(*o.TokenHash, "a SHA-256 of 64 hex digits, as printed by 'masticcart token hash'")
+			h, err := o.TokenHash.tokenHash()
+			if err != nil {
+				return u, "", err
 			}
 			u.hashes = append(u.hashes, h)
 		case u.quota != nil:
@@ -178,6 +180,30 @@
 // tokenHashChars is the length of a SHA-256 in hex digits.
 const tokenHashChars = 64
 
+func (w *word) tokenHash() (string, error) {
+	h := strings.ToLower(w.Text)
+	if _, err := hex.DecodeString(h); err != nil || len(h) != tokenHashChars {
+		return "", errorAt(*w, "a SHA-256 of 64 hex digits, as printed by 'masticcart token hash'")
+	}
+	return h, nil
+}
+
+// setOperators replaces the operators' tokens. From then on the bootstrap token of the settings is refused.
+func setOperators(words []*word) (step, error) {
+	hashes := make([]string, 0, len(words))
+	for _, w := range words {
+		h, err := w.tokenHash()
+		if err != nil {
+			return step{}, err
+		}
+		hashes = append(hashes, h)
+	}
+	return step{summary: fmt.Sprintf("set operators, %d tokens", len(hashes)), apply: func(c *model.Config) error {
+		c.OperatorTokenHashes = slices.Clone(hashes)
+		return nil
+	}}, nil
+}
+
 func (u teamUpdate) apply(t *model.Team) {
 	if u.hashes != nil {
 		t.TokenHashes = slices.Clone(u.hashes)
--- a/internal/query/grammar.go
+++ b/internal/query/grammar.go
@@ -73,7 +73,8 @@
 	Team      *teamCommand      `parser:"( \"team\" @@"`
 	Guarantee *guaranteeCommand `parser:"| \"guarantee\" @@"`
 	Rule      *ruleCommand      `parser:"| \"rule\" @@"`
-	Weights   *weightsCommand   `parser:"| \"weights\" @@ )"`
+	Weights   *weightsCommand   `parser:"| \"weights\" @@"`
+	Operators []*word           `parser:"| \"operators\" (\"token-hash\" @@)+ )"`
 }
 
 type removeCommand struct {
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -239,7 +239,7 @@
 		"show jobs where state = waiting and age > 1h sort by age desc limit 3", "explain job a/b", "config status",
 		`show workers where jobs ~ "a\"b"`, "create team a token-hash x; remove team b",
 		"set guarantee a in b 8 accelerators adjacent rack count 2", "remove guarantee a in b",
-		"set rule k class urgent priority 1 max-wait 3s cross-region-price never", "set weights completion-time 1 fragmentation 0",
+		"set rule k class urgent priority 1 max-wait 3s cross-region-price never", "set operators token-hash " + strings.Repeat("ab", 32), "set weights completion-time 1 fragmentation 0",
 		"create team a; set team a max-accelerators 9; remove team a; remove rule x;",
 	} {
 		f.Add(seed)
