Fix three faults of takeover and views; page the views between entries

Change: each listing of the index loads what it does not list; sessions are ordered by the connection that the entry accepted; views come in pages of 1,000 rows, an unsendable reply becomes an error, and a query names the cells whose owner did not answer. Not measured yet: the query at 2,450 workers.

--- a/cmd/masticcart/operate.go
+++ b/cmd/masticcart/operate.go
@@ -74,6 +74,9 @@
 		if err != nil {
 			return err
 		}
+		if len(r.Incomplete) > 0 {
+			fmt.Fprintln(a.stderr, "masticcart: no owner answered for:", strings.Join(r.Incomplete, ", "), "(their jobs and workers are missing)")
+		}
 		return a.printReply(cmd, r, r)
 	})
 }
--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -76,9 +76,16 @@
 		return
 	}
 	c.listed = true
+	open := make(map[model.JobKey]bool, len(keys))
 	for _, k := range keys {
+		open[k] = true
 		c.Touched(now, k)
 	}
+	for k := range c.jobs {
+		if !open[k] { // finished by another owner, or known from an agent's report only
+			c.emit(LoadAction{Job: k})
+		}
+	}
 }
 
 // Touched tells the coordinator that a job is open and that its record may have changed.
@@ -96,7 +103,12 @@
 // the record is usually on its way; it is read again with growing pauses until the entry counts as an orphan.
 func (c *Coordinator) Missing(now time.Time, key model.JobKey) {
 	j := c.jobs[key]
-	if j == nil || j.loaded || j.phase != phaseLoading {
+	if j == nil || j.loaded {
+		return
+	}
+	if j.attempt != nil { // known from an agent's report; its record has been removed since
+		c.sendStops(now, j, "the job has no record")
+		delete(c.jobs, key)
 		return
 	}
 	if j.missingSince.IsZero() {
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -341,6 +342,7 @@
 		if reply.Owner {
 			reply.Jobs, reply.Workers = s.coord.Views(now)
 			reply.Jobs = append(reply.Jobs, s.recent...)
+			sort.SliceStable(reply.Jobs, func(i, k int) bool { return reply.Jobs[i].Job.Spec.Key.Less(reply.Jobs[k].Job.Spec.Key) })
 		}
 		return reply
 	})
--- a/internal/cell/upstreams.go
+++ b/internal/cell/upstreams.go
@@ -90,10 +90,22 @@
 			}
 			continue
 		}
+		c.replaced(now, u, s)
 		c.adoptTask(now, u, t)
 	}
 }
 
+// replaced notes that an agent which reports a later attempt no longer has the one that is supervised here.
+func (c *Coordinator) replaced(now time.Time, u *upstream, s protocol.TaskStatus) {
+	j := c.jobs[s.Job]
+	if j == nil || j.attempt == nil || s.Attempt <= j.attempt.number {
+		return
+	}
+	if m := j.attempt.member(u.identity.Agent); m != nil && m.Incarnation == u.identity.Incarnation {
+		c.observe(now, j, m, protocol.TaskStatus{Job: s.Job, Attempt: j.attempt.number, Phase: protocol.TaskRemoved})
+	}
+}
+
 // reportMissing treats tasks that a new announcement no longer contains as removed.
 func (c *Coordinator) reportMissing(now time.Time, u *upstream, known map[model.JobKey]*taskView) {
 	for key, t := range known {
--- a/internal/client/api/api.go
+++ b/internal/client/api/api.go
@@ -111,6 +111,8 @@
 type QueryReply struct {
 	Columns []string `json:"columns"`
 	Rows    [][]any  `json:"rows"`
+	// Incomplete lists the cells whose owner did not answer. Their jobs and workers are missing.
+	Incomplete []string `json:"incomplete,omitempty"`
 }
 
 // ChangeBody is the body of POST /v1/changes. Base is the configuration version that the commands are based on;
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -13,6 +14,9 @@
 	"masticcart.example/masticcart/internal/rpc"
 )
 
+// errSuperseded refuses an announcement on a connection that is older than the agent's session.
+var errSuperseded = errors.New("entry: the agent has opened a newer session")
+
 // Upstreams is told of the executors that short requests can be sent to.
 type Upstreams interface {
 	UpdateUpstream(id protocol.Identity, free int, delay time.Duration, leaving bool)
@@ -49,6 +53,12 @@
 	id := args.Identity
 	a.mu.Lock()
 	old := a.sessions[id.Agent]
+	if old != nil && old.conn.Serial() > conn.Serial() {
+		// An announcement that was delayed on an earlier connection, perhaps of an earlier incarnation, must not
+		// replace what the agent reported since.
+		a.mu.Unlock()
+		return protocol.HeartbeatReply{}, errSuperseded
+	}
 	a.sessions[id.Agent] = &agentSession{conn: conn, identity: id, version: args.ConfigVersion}
 	a.mu.Unlock()
 	if old == nil || old.identity.Incarnation != id.Incarnation {
--- a/internal/entry/api_ops.go
+++ b/internal/entry/api_ops.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -44,7 +46,28 @@
 	case err != nil:
 		return reply{}, apiError(http.StatusBadRequest, api.CodeBadRequest, "%v", err)
 	}
-	return reply{http.StatusOK, result}, nil
+	return reply{http.StatusOK, queryReply{Result: result, Incomplete: s.silentCells(view.Entries)}}, nil
+}
+
+// queryReply is api.QueryReply as the server builds it.
+type queryReply struct {
+	*query.Result
+	Incomplete []string `json:"incomplete,omitempty"`
+}
+
+// silentCells lists the cells that have live entries but whose owner did not answer.
+func (s *Server) silentCells(views []protocol.CellReply) []string {
+	now := time.Now()
+	silent := map[string]bool{s.table.Self(now).Cell: true}
+	for _, peer := range s.table.Alive(now) {
+		silent[peer.State.Cell] = true
+	}
+	for _, v := range views {
+		if v.Owner {
+			delete(silent, v.Cell)
+		}
+	}
+	return slices.Sorted(maps.Keys(silent))
 }
 
 // explained reads the record of the job that the query explains, which owners show only for a while.
@@ -68,14 +91,14 @@
 	views := make([]*protocol.CellReply, len(peers)+1)
 	var calls sync.WaitGroup
 	calls.Go(func() {
-		if v, err := s.cellView(ctx, nil, protocol.CellArgs{}); err == nil {
+		if v, err := s.wholeView(ctx); err == nil {
 			views[0] = &v
 		}
 	})
 	for i, peer := range peers {
 		calls.Go(func() {
-			var v protocol.CellReply
-			if err := s.peers.CallAddress(ctx, peer.State.Address, protocol.MethodCell, protocol.CellArgs{}, &v); err != nil {
+			v, err := s.peerView(ctx, peer.State.Address)
+			if err != nil {
 				klog.V(1).InfoS("View not fetched", "entry", peer.State.Entry, "err", err)
 				return
 			}
--- a/internal/entry/rpc.go
+++ b/internal/entry/rpc.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sort"
 	"time"
 
 	"masticcart.example/masticcart/internal/protocol"
@@ -59,7 +60,48 @@
 	return protocol.ForwardReply{Outcome: s.router.SubmitForwarded(ctx, a.Request)}, nil
 }
 
-func (s *Server) cellView(ctx context.Context, _ *rpc.Conn, _ protocol.CellArgs) (protocol.CellReply, error) {
+// cellView returns one page of this entry's view.
+func (s *Server) cellView(ctx context.Context, _ *rpc.Conn, a protocol.CellArgs) (protocol.CellReply, error) {
+	v, err := s.wholeView(ctx)
+	return page(v, a), err
+}
+
+// page cuts the rows after the given ones out of a view.
+func page(v protocol.CellReply, a protocol.CellArgs) protocol.CellReply {
+	jobs := sort.Search(len(v.Jobs), func(i int) bool { return a.AfterJob.Less(v.Jobs[i].Job.Spec.Key) })
+	workers := sort.Search(len(v.Workers), func(i int) bool { return v.Workers[i].Identity.Agent > a.AfterWorker })
+	v.Jobs, v.Workers = v.Jobs[jobs:], v.Workers[workers:]
+	rows := len(v.Jobs) + len(v.Workers)
+	v.Jobs = v.Jobs[:min(len(v.Jobs), protocol.CellPageRows)]
+	v.Workers = v.Workers[:min(len(v.Workers), protocol.CellPageRows-len(v.Jobs))]
+	v.More = rows > len(v.Jobs)+len(v.Workers)
+	return v
+}
+
+// peerView fetches all pages of another entry's view.
+func (s *Server) peerView(ctx context.Context, address string) (protocol.CellReply, error) {
+	var view protocol.CellReply
+	var args protocol.CellArgs
+	for {
+		var next protocol.CellReply
+		if err := s.peers.CallAddress(ctx, address, protocol.MethodCell, args, &next); err != nil {
+			return view, err
+		}
+		next.Jobs, next.Workers = append(view.Jobs, next.Jobs...), append(view.Workers, next.Workers...)
+		view = next
+		if !view.More {
+			return view, nil
+		}
+		if n := len(view.Jobs); n > 0 {
+			args.AfterJob = view.Jobs[n-1].Job.Spec.Key
+		}
+		if n := len(view.Workers); n > 0 {
+			args.AfterWorker = view.Workers[n-1].Identity.Agent
+		}
+	}
+}
+
+func (s *Server) wholeView(ctx context.Context) (protocol.CellReply, error) {
 	v, err := s.cell.View(ctx)
 	self := s.table.Self(time.Now())
 	v.Entry, v.Region, v.ConfigVersion = self.Entry, self.Region, s.config.Version()
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -259,8 +259,15 @@
 	Config *model.Config `json:"config,omitempty"`
 }
 
-// CellArgs asks for an entry's view for operators' queries.
-type CellArgs struct{}
+// CellArgs asks for one page of an entry's view for operators' queries. Jobs come first, then workers, each in
+// the order of their keys.
+type CellArgs struct {
+	AfterJob    model.JobKey `json:"after_job,omitzero"`
+	AfterWorker string       `json:"after_worker,omitempty"`
+}
+
+// CellPageRows bounds the jobs and workers of one page, which keeps the message far below the limit.
+const CellPageRows = 1000
 
 // WorkerView is one upstream as an entry sees it.
 type WorkerView struct {
@@ -290,6 +297,8 @@
 	ConfigVersion int64        `json:"config_version"`
 	Jobs          []JobView    `json:"jobs,omitempty"`
 	Workers       []WorkerView `json:"workers,omitempty"`
+	// More is set when another page follows.
+	More bool `json:"more,omitempty"`
 }
 
 // WaitArgs waits at the owner until a job finishes or Timeout passes.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -57,6 +57,7 @@
 	slots    chan struct{}
 	remote   string
 	ready    chan struct{} // closed once peer is set; requests can arrive before
+	serial   uint64
 }
 
 // Handle implements jsonrpc2.Handler.
@@ -94,7 +95,8 @@
 		return
 	}
 	if err := c.peer.Reply(ctx, req.ID, result); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
-		klog.V(2).InfoS("Reply not sent", "method", req.Method, "remote", c.remote, "err", err)
+		klog.InfoS("Reply not sent", "method", req.Method, "remote", c.remote, "err", err)
+		c.replyError(ctx, req, toRemote(err)) // for example a reply that is too large
 	}
 }
 
@@ -134,6 +136,9 @@
 	}
 }
 
+// Serial orders the connections that one server accepted; a later one has a higher serial.
+func (c *Conn) Serial() uint64 { return c.serial }
+
 // Remote returns the peer's address.
 func (c *Conn) Remote() string { return c.remote }
 
@@ -147,8 +152,8 @@
 	}
 }
 
-func newConn(ctx context.Context, nc net.Conn, h Handlers, m *Meter) *Conn {
-	c := &Conn{handlers: h, slots: make(chan struct{}, maxConcurrentRequests), ready: make(chan struct{}), remote: nc.RemoteAddr().String()}
+func newConn(ctx context.Context, nc net.Conn, h Handlers, m *Meter, serial uint64) *Conn {
+	c := &Conn{handlers: h, serial: serial, slots: make(chan struct{}, maxConcurrentRequests), ready: make(chan struct{}), remote: nc.RemoteAddr().String()}
 	ctx, cancel := context.WithCancel(ctx)
 	c.peer = jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(meteredConn{nc, m}, boundedCodec{}), c,
 		jsonrpc2.SetLogger(discardLogger{}))
@@ -178,7 +183,7 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrDial, merry.AppendMessagef("%s: %v", address, err))
 	}
-	return newConn(context.WithoutCancel(ctx), nc, h, m), nil
+	return newConn(context.WithoutCancel(ctx), nc, h, m, 0), nil
 }
 
 // Server accepts connections until it is closed.
@@ -188,6 +193,7 @@
 	meter    *Meter
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
+	accepted uint64
 	closed   bool
 }
 
@@ -219,7 +225,8 @@
 			time.Sleep(50 * time.Millisecond) // for example out of file descriptors
 			continue
 		}
-		s.track(newConn(context.Background(), nc, s.handlers, s.meter))
+		s.accepted++ // by this goroutine only
+		s.track(newConn(context.Background(), nc, s.handlers, s.meter, s.accepted))
 	}
 }
 
