Queue a gang in the nearest cell that can hold it

Cause: a gang larger than any block of the local data centre was refused, although another data centre had such a block. Change: entries gossip the largest blocks of their cell; the accepting entry prefers the guarantee's cell, then local, region, other regions. Ruled out: moving a queued job to another cell, which needs two index entries at the same time and has to be proved first. Not measured: bytes, three integers a message.

--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -33,6 +34,7 @@
 	// resyncInterval repeats the listing of the open index, for touches that were lost.
 	resyncInterval = 30 * time.Second
 	listRetry      = time.Second
+	blocksInterval = time.Second
 	// maxRecent bounds the finished jobs that queries still show. Older ones are read by their key.
 	maxRecent = 1000
 )
@@ -61,6 +63,7 @@
 	owner      ownerSignal
 	waiters    waiters
 	recent     []protocol.JobView // finished jobs, without their outputs; for queries
+	blocks     atomic.Pointer[protocol.Blocks]
 }
 
 // ownerSignal tells the index loop about changes of ownership.
@@ -103,6 +106,7 @@
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(serviceTick)
 	defer ticker.Stop()
+	var summed time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -116,6 +120,11 @@
 			started := time.Now()
 			s.coord.Tick(now)
 			s.scope.Timer("tick").Record(time.Since(started))
+			if now.Sub(summed) >= blocksInterval {
+				summed = now
+				b := s.coord.Blocks()
+				s.blocks.Store(&b)
+			}
 		}
 		for _, a := range s.coord.Drain() {
 			s.perform(ctx, a)
@@ -123,6 +132,14 @@
 	}
 }
 
+// Blocks returns the largest blocks of the cell, as of at most blocksInterval ago.
+func (s *Service) Blocks() protocol.Blocks {
+	if b := s.blocks.Load(); b != nil {
+		return *b
+	}
+	return protocol.Blocks{}
+}
+
 // post hands an answer to the coordinator. It waits for room, since an answer must not be lost; the senders
 // are goroutines of single calls.
 func (s *Service) post(ctx context.Context, f func(now time.Time)) {
--- a/internal/cell/upstreams.go
+++ b/internal/cell/upstreams.go
@@ -124,6 +124,22 @@
 	}
 }
 
+// Blocks returns the largest blocks of accelerators that the known workers form.
+func (c *Coordinator) Blocks() protocol.Blocks {
+	var b protocol.Blocks
+	racks := make(map[string]int)
+	for _, u := range c.upstreams {
+		if u.identity.Kind != protocol.KindWorker {
+			continue
+		}
+		b.Worker = max(b.Worker, u.identity.Units)
+		racks[u.identity.Rack] += u.identity.Units
+		b.Rack = max(b.Rack, racks[u.identity.Rack])
+		b.Datacenter += u.identity.Units
+	}
+	return b
+}
+
 // tickTasks reads the records of tasks that no known job calls for, stops them once that is certain, and forgets upstreams that are long gone.
 func (c *Coordinator) tickTasks(now time.Time) {
 	for id, u := range c.upstreams {
--- a/internal/entry/api_work.go
+++ b/internal/entry/api_work.go
@@ -111,37 +111,49 @@
 	return reply{status, api.JobReply{Job: record.Job}}, nil
 }
 
-// homeCell is where a new job is queued: where the team's guarantee covers it, else here. Slot jobs go to a
-// cell that has executors of their service.
+// homeCell is where a new job is queued: where the team's guarantee covers it, else in the nearest cell that can
+// hold it, this one first. A job that no known cell can hold is queued, and refused with the reason, here.
 func (s *Server) homeCell(spec model.JobSpec) string {
 	now := time.Now()
-	own := s.table.Self(now)
+	holds := func(g protocol.GossipArgs) bool { return serves(g, spec.Service) }
 	if spec.Shape.UsesAccelerators() {
-		for _, g := range s.config.Current().Guarantees {
-			covers := g.Team == spec.Key.Team && g.Shape.Accelerators >= spec.Shape.Accelerators &&
-				g.Shape.Adjacency.Level() <= spec.Shape.Adjacency.Level()
-			if covers && len(s.table.Order(g.Cell, now)) > 0 {
-				return g.Cell
-			}
+		holds = func(g protocol.GossipArgs) bool { return g.Blocks.Hold(spec.Shape) }
+		if cellName, ok := s.guaranteedCell(spec, now); ok {
+			return cellName
 		}
-		return own.Cell
 	}
-	if serves(own, spec.Service) {
+	own := s.table.Self(now)
+	if holds(own) {
 		return own.Cell
 	}
+	other := ""
 	for _, peer := range s.table.Alive(now) {
-		if peer.State.Region == own.Region && serves(peer.State, spec.Service) {
+		switch {
+		case !holds(peer.State):
+		case peer.State.Region == own.Region:
 			return peer.State.Cell
+		case other == "":
+			other = peer.State.Cell
 		}
 	}
-	for _, peer := range s.table.Alive(now) {
-		if serves(peer.State, spec.Service) {
-			return peer.State.Cell
-		}
+	if other != "" {
+		return other
 	}
 	return own.Cell
 }
 
+// guaranteedCell returns a live cell in which a guarantee of the team covers the job.
+func (s *Server) guaranteedCell(spec model.JobSpec, now time.Time) (string, bool) {
+	for _, g := range s.config.Current().Guarantees {
+		covers := g.Team == spec.Key.Team && g.Shape.Accelerators >= spec.Shape.Accelerators &&
+			g.Shape.Adjacency.Level() <= spec.Shape.Adjacency.Level()
+		if covers && len(s.table.Order(g.Cell, now)) > 0 {
+			return g.Cell, true
+		}
+	}
+	return "", false
+}
+
 func serves(g protocol.GossipArgs, service string) bool {
 	for _, l := range g.Loads {
 		if l.Service == service {
--- a/internal/entry/fx.go
+++ b/internal/entry/fx.go
@@ -75,7 +75,6 @@
 		Dispatcher: dispatcher{agents: a, peers: p, self: s.Name},
 		Scope:      m.Scope, SecondAttempt: true,
 	})
-	p.self = func(g *protocol.GossipArgs) { g.Loads, g.Agents, g.ConfigVersion = r.Loads(), a.Count(), c.Version() }
 	p.lost = r.RemovePeer
 	p.heard = func(g protocol.GossipArgs) {
 		r.UpdatePeer(g)
@@ -86,9 +85,12 @@
 	return r
 }
 
-func newCell(s *settings.Settings, c *ConfigSync, j *jobs.Store, a *Agents, own ownership, r *routing.Router, m *telemetry.Metrics) *cell.Service {
+func newCell(s *settings.Settings, c *ConfigSync, j *jobs.Store, a *Agents, p *Peers, own ownership, r *routing.Router, m *telemetry.Metrics) *cell.Service {
 	service := cell.NewService(s.Cell, placement.New(placement.Options{}), c.Current, j, a, own, m.Scope.SubScope("cell"))
 	a.Attach(service, r)
+	p.self = func(g *protocol.GossipArgs) {
+		g.Loads, g.Agents, g.Blocks, g.ConfigVersion = r.Loads(), a.Count(), service.Blocks(), c.Version()
+	}
 	return service
 }
 
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -222,6 +222,27 @@
 	QueueDelay time.Duration `json:"queue_delay"`
 }
 
+// Blocks holds the accelerators of the largest worker, the largest rack and the whole data centre, free or not.
+// Jobs that one cell can never hold are queued in another.
+type Blocks struct {
+	Worker     int `json:"worker"`
+	Rack       int `json:"rack"`
+	Datacenter int `json:"datacenter"`
+}
+
+// Hold reports whether a shape on accelerators can ever fit.
+func (b Blocks) Hold(s model.Shape) bool {
+	switch s.Adjacency {
+	case model.AdjacentWorker:
+		return s.Accelerators <= b.Worker
+	case model.AdjacentRack:
+		return s.Accelerators <= b.Rack
+	case model.AdjacentDatacenter:
+		return s.Accelerators <= b.Datacenter
+	}
+	return false
+}
+
 // GossipArgs is the heartbeat between entries.
 type GossipArgs struct {
 	Entry         string        `json:"entry"`
@@ -230,6 +251,7 @@
 	Cell          string        `json:"cell"`
 	Loads         []ServiceLoad `json:"loads,omitempty"`
 	Agents        int           `json:"agents"` // sessions of agents
+	Blocks        Blocks        `json:"blocks,omitzero"`
 	ConfigVersion int64         `json:"config_version"`
 	Leaving       bool          `json:"leaving,omitempty"`
 	// Peers are addresses of entries known to the sender.
