Pause between claims that the upstream rejects

Cause (F15): a job whose executor rejected every start was claimed ten times a second, 336 times in 34 s with two platform writes each. Change: the pause of failing jobs, 0.5 s doubled up to 16 s, also follows claimed attempts of which nothing started. Ruled out: counting rejections as failures, which would end jobs because of an upstream that restarts.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -149,15 +149,15 @@
 		c.drop(j)
 		return
 	}
-	c.toWaiting(now, j, failurePause(r.Job.Failures))
+	c.toWaiting(now, j, failurePause(max(r.Job.Failures, j.unstarted)))
 }
 
-// failurePause keeps a job that fails again and again from using up the cell and the platform.
-func failurePause(failures int) time.Duration {
-	if failures == 0 {
+// failurePause keeps a job that fails or is rejected again and again from using up the cell and the platform.
+func failurePause(times int) time.Duration {
+	if times == 0 {
 		return 0
 	}
-	return failureDelay << min(failures-1, maxFailures)
+	return failureDelay << min(times-1, maxDoublings)
 }
 
 func (c *Coordinator) claimWritten(now time.Time, j *job, r jobs.Record, err error) {
--- a/internal/cell/stop.go
+++ b/internal/cell/stop.go
@@ -173,6 +173,11 @@
 		return
 	}
 	next, purpose := c.nextRecord(now, j)
+	if a.all(func(m *member) bool { return !m.started && !m.uncertain }) {
+		j.unstarted++
+	} else {
+		j.unstarted = 0
+	}
 	w := WriteAction{Purpose: purpose, Attempt: j.ref(), Record: jobs.Record{Job: next, Revision: j.record.Revision}}
 	j.phase, j.pending, j.notBefore = phaseWriting, &w, now.Add(platformRetry)
 	c.emit(w)
--- a/internal/cell/types.go
+++ b/internal/cell/types.go
@@ -120,8 +120,11 @@
 	// maxDistinctFailures ends a job that failed on as many workers, maxFailures one that failed as often on fewer.
 	maxDistinctFailures = 3
 	maxFailures         = 5
-	// failureDelay is the pause after the first failure; it doubles with each further one.
+	// failureDelay is the pause after the first failure, and after the first claimed attempt that the upstream
+	// rejected; it doubles with each further one.
 	failureDelay = 500 * time.Millisecond
+	// maxDoublings bounds the pause at 16 s.
+	maxDoublings = 5
 	// maxGangOutputBytes keeps the finished record under the platform's limit of 1 MB.
 	maxGangOutputBytes = 512 << 10
 )
@@ -197,6 +200,7 @@
 	loaded      bool              // the record has been read
 	index       platform.Revision // of the index entry when the record was last asked for
 	readAt      time.Time
+	unstarted   int // claimed attempts in a row of which nothing started
 	phase       phase
 	attempt     *attempt
 	nextAttempt int
