Capacity measurements and their page; one view for the pages of a query

Cause: the cost of each role at 27,000 workers was unknown, and a query of a full cell through another entry took 1.88 s of the 2 s that it may take, since the owner built and sorted its view for each of 13 pages. Change: make capacity measures slopes with real entries and agents on one machine and prints what docs/CAPACITY.md quotes; the owner keeps its view for up to 1 s. Ruled out: a message limit above 4 MiB, which a host of 128 MB cannot afford for several callers at a time. Not measured again after the cached view.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 
 demo: build
 	scripts/demo
+
+.PHONY: capacity
+capacity: build
+	scripts/capacity
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -13,7 +13,6 @@
 
 	"masticcart.example/masticcart/internal/agent"
 	"masticcart.example/masticcart/internal/config"
-	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/protocol"
 )
 
@@ -35,7 +34,7 @@
 	sessions sync.WaitGroup
 	messages atomic.Int64
 	running  atomic.Int64
-	versions []*config.Applier
+	started  atomic.Int64
 }
 
 func newFleet(cell string, seeds []string) *fleet {
@@ -43,16 +42,18 @@
 	return &fleet{cell: cell, seeds: seeds, scope: tally.NewTestScope("", nil), ctx: ctx, cancel: cancel}
 }
 
-// grow starts agents until there are n.
+// grow starts agents until there are n. The starts are spread over one heartbeat interval, so that the agents do not
+// all report at the same moment.
 func (f *fleet) grow(n int) {
+	started, first := time.Now(), len(f.agents)
 	for i := len(f.agents); i < n; i++ {
+		time.Sleep(time.Until(started.Add(protocol.HeartbeatInterval * time.Duration(i-first) / time.Duration(n-first))))
 		id := protocol.Identity{
 			Agent: fmt.Sprintf("worker-%s-%04d", f.cell, i), Incarnation: uuid.NewString(), Kind: protocol.KindWorker,
 			Region: "north", Cell: f.cell, Rack: fmt.Sprintf("%s-rack-%03d", f.cell, i/agentsPerRack), Units: UnitsPerAgent,
 		}
-		applier := config.NewApplier()
-		a := agent.New(id, timedDriver{&f.running}, nil, countingHolder{applier, &f.messages}, f.scope)
-		f.agents, f.versions = append(f.agents, a), append(f.versions, applier)
+		a := agent.New(id, timedDriver{&f.running, &f.started}, nil, countingHolder{config.NewApplier(), &f.messages}, f.scope)
+		f.agents = append(f.agents, a)
 		go a.Run()
 		f.sessions.Go(func() { agent.NewSessions(a, nil, f.seeds).Run(f.ctx) })
 	}
@@ -67,17 +68,6 @@
 	}
 }
 
-// behind counts the agents that do not have a configuration version yet.
-func (f *fleet) behind(version int64) int {
-	n := 0
-	for _, v := range f.versions {
-		if v.Version() < version {
-			n++
-		}
-	}
-	return n
-}
-
 // fleetTraffic is the state of the fleet's counters.
 type fleetTraffic struct {
 	at                       time.Time
@@ -109,22 +99,28 @@
 	return h.Applier.Version()
 }
 
-// Apply implements agent.ConfigHolder.
-func (h countingHolder) Apply(c *model.Config) bool { return h.Applier.Apply(c) }
-
-// taskPayload is the payload of the jobs that the load submits. Zero means that a task runs until it is stopped.
+// taskPayload is the payload of the jobs that the load submits.
 type taskPayload struct {
-	RunMS int64 `json:"run_ms"`
+	RunMS  int64 `json:"run_ms"`  // for timedDriver; zero means until it is stopped
+	WorkMS int64 `json:"work_ms"` // for the stand-in worker
+}
+
+func newPayload(runMS int64) taskPayload {
+	if runMS == 0 {
+		return taskPayload{WorkMS: time.Hour.Milliseconds()}
+	}
+	return taskPayload{RunMS: runMS, WorkMS: runMS}
 }
 
 // timedDriver runs tasks that do nothing.
-type timedDriver struct{ running *atomic.Int64 }
+type timedDriver struct{ running, started *atomic.Int64 }
 
 // Reset implements agent.Driver.
 func (timedDriver) Reset(context.Context) error { return nil }
 
 // Run implements agent.Driver.
 func (d timedDriver) Run(ctx context.Context, l agent.Launch, halted <-chan agent.Halt) agent.End {
+	d.started.Add(1)
 	d.running.Add(1)
 	defer d.running.Add(-1)
 	var p taskPayload
--- a/internal/capacity/proc.go
+++ b/internal/capacity/proc.go
@@ -46,6 +46,24 @@
 	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
 }
 
+// memoryStall returns how long the whole machine has stood still for lack of memory since it started. Where the kernel
+// does not tell, it is zero.
+func memoryStall() time.Duration {
+	data, err := os.ReadFile("/proc/pressure/memory")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if _, total, ok := strings.Cut(line, "total="); ok && strings.HasPrefix(line, "full") {
+			us, err := strconv.ParseInt(strings.TrimSpace(total), 10, 64)
+			if err == nil {
+				return time.Duration(us) * time.Microsecond
+			}
+		}
+	}
+	return 0
+}
+
 // residentBytes returns the resident memory of a process.
 func residentBytes(pid int) (int64, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/internal/capacity/processes.go
+++ b/internal/capacity/processes.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -42,10 +44,11 @@
 	platform string // address of the key-value stand-in
 	kvPID    int
 	entries  []*entryProcess
+	alive    map[string]bool
 }
 
 func newProcesses(dir string, out io.Writer, basePort int) *processes {
-	return &processes{dir: dir, out: out, port: basePort}
+	return &processes{dir: dir, out: out, port: basePort, alive: make(map[string]bool)}
 }
 
 func (p *processes) address() string {
@@ -61,6 +64,7 @@
 	deadline := time.Now().Add(pidTimeout)
 	for time.Now().Before(deadline) {
 		if data, err := os.ReadFile(p.pidFile(name)); err == nil {
+			p.alive[name] = true
 			return strconv.Atoi(strings.TrimSpace(string(data)))
 		}
 		time.Sleep(pollInterval)
@@ -75,6 +79,7 @@
 	for _, name := range names {
 		for {
 			if _, err := os.Stat(p.pidFile(name)); errors.Is(err, os.ErrNotExist) {
+				delete(p.alive, name)
 				break
 			}
 			if time.Now().After(deadline) {
@@ -86,6 +91,19 @@
 	return nil
 }
 
+// killAll ends every process of the part and forgets its entries.
+func (p *processes) killAll() error {
+	names := slices.Sorted(maps.Keys(p.alive))
+	for _, e := range p.entries {
+		_ = e.platform.listener.Close()
+	}
+	p.entries = nil
+	if len(names) == 0 {
+		return nil
+	}
+	return p.kill(names...)
+}
+
 func (p *processes) startPlatform() (err error) {
 	p.platform = p.address()
 	p.kvPID, err = p.start("kv", "standin-kv", "-listen", p.platform)
@@ -123,10 +141,8 @@
 			"bootstrap_operator_token_hash": demo.TokenHash(operatorToken),
 		},
 	}
-	if e.pid, err = p.daemon(e.name, content); err != nil {
-		return err
-	}
-	return nil
+	e.pid, err = p.daemon(e.name, content)
+	return err
 }
 
 func (p *processes) daemon(name string, content map[string]any) (int, error) {
@@ -159,8 +175,8 @@
 // maxSeedPeers bounds the peers in the settings; entries learn the others by gossip and from the platform.
 const maxSeedPeers = 4
 
-// inOrder returns the entries of a cell in rendezvous order: the owner, the successors, then the others.
-func inOrder(list []*entryProcess, cell string) []*entryProcess {
+// inOrder returns the entries of the measured cell in rendezvous order: the owner, the successors, then the others.
+func inOrder(list []*entryProcess) []*entryProcess {
 	now := time.Now()
 	table := membership.NewTable(protocol.GossipArgs{})
 	byName := make(map[string]*entryProcess)
@@ -169,7 +185,7 @@
 		byName[e.name] = e
 	}
 	var out []*entryProcess
-	for _, g := range table.Order(cell, now) {
+	for _, g := range table.Order(cellName, now) {
 		if e := byName[g.Entry]; e != nil {
 			out = append(out, e)
 		}
--- a/internal/capacity/record.go
+++ b/internal/capacity/record.go
@@ -62,13 +62,25 @@
 	return nil
 }
 
+// minPoints is the number of points from which a line is fitted.
+const minPoints = 3
+
 func printSeries(out io.Writer, k seriesKey, points []Point) {
 	var x, y []float64
 	list := ""
+	zero := true
 	for _, p := range points {
+		zero = zero && p.Y == 0
 		x, y = append(x, p.X), append(y, p.Y)
 		list += fmt.Sprintf(" %s:%s", number(p.X), number(p.Y))
 	}
+	if zero {
+		return
+	}
+	if len(points) < minPoints {
+		fmt.Fprintf(out, "| %s | %s | %s | %s | | | | |%s |\n", k.part, k.over, k.role, k.measure, list)
+		return
+	}
 	f := Line(x, y)
 	fmt.Fprintf(out, "| %s | %s | %s | %s | %s | %s | %s | %.3f |%s |\n", k.part, k.over, k.role, k.measure,
 		number(f.Intercept), number(f.Slope), number(f.SlopeError), f.R2, list)
--- a/internal/capacity/relay.go
+++ b/internal/capacity/relay.go
@@ -34,7 +34,7 @@
 		}
 		server, err := net.Dial("tcp", r.target)
 		if err != nil {
-			client.Close()
+			_ = client.Close()
 			continue
 		}
 		go pass(server, client, &r.toPlatform)
@@ -44,9 +44,9 @@
 
 // pass copies until either side ends and then closes both.
 func pass(to, from net.Conn, count *atomic.Int64) {
-	defer to.Close()
-	defer from.Close()
 	_, _ = io.Copy(countingWriter{to, count}, from)
+	_ = to.Close()
+	_ = from.Close()
 }
 
 type countingWriter struct {
--- /dev/null
+++ b/internal/capacity/sizes.go
@@ -0,0 +1,94 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+
+	"masticcart.example/masticcart/internal/demo"
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/protocol"
+)
+
+// gangMembers are the sizes of gangs for which sizes are printed: 1024 accelerators on workers with 8 and with 2.
+var gangMembers = []int{1, 128, 512}
+
+// Sizes prints the encoded sizes of the messages that grow with the deployment, without the envelope of a call, which
+// adds about 60 bytes. They need no processes.
+func Sizes(out io.Writer) error {
+	fmt.Fprintln(out, "| message | with | bytes |\n|---|---|---|")
+	row := func(message, with string, v any) error {
+		data, err := json.Marshal(v)
+		if err == nil {
+			_, err = fmt.Fprintf(out, "| %s | %s | %d |\n", message, with, len(data))
+		}
+		return err
+	}
+	id := protocol.Identity{Agent: "worker-dc1-0001", Incarnation: uuid.NewString(), Kind: protocol.KindWorker, Region: "north",
+		Cell: cellName, Rack: "dc1-rack-001", Units: UnitsPerAgent}
+	for _, tasks := range []int{0, 1, 4} {
+		a := protocol.AnnounceArgs{Identity: id, Sequence: 1000, ConfigVersion: 1000}
+		for range tasks {
+			a.Tasks = append(a.Tasks, sampleTask(1))
+		}
+		if err := row("agent.announce", fmt.Sprintf("%d tasks of one member", tasks), a); err != nil {
+			return err
+		}
+	}
+	for _, n := range gangMembers {
+		t := sampleTask(n)
+		if err := row("agent.announce", fmt.Sprintf("one task of a gang of %d members", n), protocol.AnnounceArgs{Identity: id, Tasks: []protocol.TaskStatus{t}}); err != nil {
+			return err
+		}
+		if err := row("agent.hold", fmt.Sprintf("gang of %d members", n), protocol.HoldArgs{Incarnation: id.Incarnation, Attempt: 1, Units: t.Units, Spec: *t.Spec, Members: t.Members}); err != nil {
+			return err
+		}
+		job := model.Job{Spec: *t.Spec, Cell: cellName, State: model.JobClaimed, Attempt: 1, Members: t.Members, Nonce: uuid.NewString()}
+		if err := row("job record", fmt.Sprintf("gang of %d members", n), job); err != nil {
+			return err
+		}
+	}
+	view := protocol.CellReply{Cell: cellName, Owner: true}
+	for range 2450 {
+		w := protocol.WorkerView{Identity: id, Alive: true, ConfigVersion: 1000}
+		for range tasksPerAgent {
+			t := sampleTask(1)
+			view.Jobs = append(view.Jobs, protocol.JobView{Phase: "running", Job: model.Job{Spec: *t.Spec, Cell: cellName, State: model.JobClaimed,
+				Attempt: 1, Members: t.Members, Nonce: uuid.NewString(), Submitted: time.Now().UTC(), Claimed: time.Now().UTC()}})
+			t.Spec, t.Members = nil, nil
+			w.Tasks = append(w.Tasks, t)
+		}
+		view.Workers = append(view.Workers, w)
+	}
+	if err := row("entry.cell reply", fmt.Sprintf("2450 workers, %d jobs", len(view.Jobs)), view); err != nil {
+		return err
+	}
+	for _, teams := range []int{4, 70, 350, 700} {
+		if err := row("configuration", fmt.Sprintf("%d teams", teams), model.Config{Version: 1000, Teams: sampleTeams(teams)}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sampleTask(members int) protocol.TaskStatus {
+	spec := model.JobSpec{Key: model.JobKey{Team: "team-000", ID: "job-000001"}, Kind: "training", Idempotent: true, RunTime: time.Hour,
+		Shape: model.Shape{Accelerators: 2 * members, Adjacency: model.AdjacentDatacenter}}
+	t := protocol.TaskStatus{Job: spec.Key, Attempt: 1, Units: 2, Phase: protocol.TaskRunning, Started: true, Spec: &spec}
+	for i := range members {
+		t.Members = append(t.Members, model.Member{Agent: fmt.Sprintf("worker-dc1-%04d", i), Incarnation: uuid.NewString(), Units: 2})
+	}
+	return t
+}
+
+func sampleTeams(n int) []model.Team {
+	var out []model.Team
+	for i := range n {
+		name := fmt.Sprintf("team-%03d", i)
+		out = append(out, model.Team{Name: name, TokenHashes: []string{demo.TokenHash(name)}, MaxAccelerators: 100_000})
+	}
+	return out
+}
--- a/internal/capacity/window.go
+++ b/internal/capacity/window.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -9,6 +12,9 @@
 const (
 	settleTime = 3 * time.Second
 	windowTime = 8 * time.Second
+	// resyncTime is how often an owner lists its open jobs again: three watches of 10 s and a pause of 1 s. Windows
+	// over open jobs have this length, so that each holds one listing.
+	resyncTime = 31 * time.Second
 )
 
 // role names what a process is in a measurement.
@@ -40,9 +46,29 @@
 	fleetIn, fleetOut, messages   float64 // a second, of all agents together
 }
 
-// window observes the processes for a while. Processor time and memory are read around a span without scrapes, since
+const (
+	// maxStallShare is the share of a window that the machine may stand still for lack of memory. Page reclaim is
+	// charged to whichever process runs, and showed up as more than a core in processes that did nothing.
+	maxStallShare = 0.01
+	windowTries   = 3
+)
+
+// steadyWindow is window without an event. It is repeated while the machine lacks memory.
+func (r *runner) steadyWindow(ctx context.Context, roles []role, length time.Duration) (measured, error) {
+	for try := 1; ; try++ {
+		before := memoryStall()
+		m, err := r.window(ctx, roles, length, nil)
+		stalled := memoryStall() - before
+		if err != nil || try == windowTries || stalled < time.Duration(maxStallShare*float64(length)) {
+			return m, err
+		}
+		fmt.Fprintf(r.log, "window repeated: the machine stood still for %s for lack of memory\n", stalled)
+	}
+}
+
+// window observes the processes for a while, at the start of which during runs. Processor time and memory are read around a span without scrapes, since
 // a scrape costs the process time; bytes are counted between the edges of the published counters.
-func (r *runner) window(ctx context.Context, roles []role, length time.Duration) (measured, error) {
+func (r *runner) window(ctx context.Context, roles []role, length time.Duration, during func() error) (measured, error) {
 	m := measured{roles: make([]usage, len(roles))}
 	before, err := edges(ctx, roles)
 	if err != nil {
@@ -63,7 +89,12 @@
 	}
 	fleet := r.fleetTraffic()
 	started := time.Now()
-	time.Sleep(length)
+	if during != nil {
+		if err := during(); err != nil {
+			return m, err
+		}
+	}
+	time.Sleep(length - time.Since(started))
 	span := time.Since(started).Seconds()
 	for i, x := range roles {
 		used, err := processorTime(x.pid)
@@ -90,7 +121,7 @@
 	m.calls = m.reads + m.writes + m.watches
 	after := r.fleetTraffic()
 	m.fleetIn, m.fleetOut, m.messages = (after.received-fleet.received)/span, (after.sent-fleet.sent)/span, (after.messages-fleet.messages)/span
-	last, err := edges(ctx, roles)
+	last, err := evenEdges(ctx, roles, before)
 	if err != nil {
 		return m, err
 	}
@@ -113,6 +144,28 @@
 	return r.fleet.traffic()
 }
 
+// evenEdges waits for edges an even number of seconds after the first ones, since each agent reports every other
+// second.
+func evenEdges(ctx context.Context, roles []role, first []traffic) ([]traffic, error) {
+	last, err := edges(ctx, roles)
+	if err != nil {
+		return nil, err
+	}
+	odd := slices.Clone(roles)
+	for i := range odd {
+		if int(math.Round(last[i].at.Sub(first[i].at).Seconds()))%2 == 0 {
+			odd[i].metrics = ""
+		}
+	}
+	later, err := edges(ctx, odd)
+	for i, x := range odd {
+		if x.metrics != "" && err == nil {
+			last[i] = later[i]
+		}
+	}
+	return last, err
+}
+
 // edges waits for the counters' edges of all processes at the same time.
 func edges(ctx context.Context, roles []role) ([]traffic, error) {
 	out, errs := make([]traffic, len(roles)), make([]error, len(roles))
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -35,6 +35,7 @@
 	resyncInterval = 30 * time.Second
 	listRetry      = time.Second
 	blocksInterval = time.Second
+	viewAge        = time.Second
 	// maxRecent bounds the finished jobs that queries still show. Older ones are read by their key.
 	maxRecent = 1000
 )
@@ -64,6 +65,8 @@
 	waiters    waiters
 	recent     []protocol.JobView // finished jobs, without their outputs; for queries
 	blocks     atomic.Pointer[protocol.Blocks]
+	view       protocol.CellReply // of the time viewed
+	viewed     time.Time
 }
 
 // ownerSignal tells the index loop about changes of ownership.
@@ -332,19 +335,27 @@
 	})
 }
 
-// View returns the cell as this entry sees it. Jobs and upstreams are filled in by the owner only.
+// View returns the cell as this entry sees it, at most viewAge old, so that the pages of one query do not sort it
+// again and again. Jobs and upstreams are filled in by the owner only. The caller must not modify the rows.
 func (s *Service) View(ctx context.Context) (protocol.CellReply, error) {
 	return ask(ctx, s, func(now time.Time) protocol.CellReply {
-		reply := protocol.CellReply{Cell: s.cell, Owner: s.coord.Owner()}
-		if reply.Owner {
-			reply.Jobs, reply.Workers = s.coord.Views(now)
-			reply.Jobs = append(reply.Jobs, s.recent...)
-			sort.SliceStable(reply.Jobs, func(i, k int) bool { return reply.Jobs[i].Job.Spec.Key.Less(reply.Jobs[k].Job.Spec.Key) })
+		if now.Sub(s.viewed) > viewAge || s.view.Owner != s.coord.Owner() {
+			s.view, s.viewed = s.buildView(now), now
 		}
-		return reply
+		return s.view
 	})
 }
 
+func (s *Service) buildView(now time.Time) protocol.CellReply {
+	reply := protocol.CellReply{Cell: s.cell, Owner: s.coord.Owner()}
+	if reply.Owner {
+		reply.Jobs, reply.Workers = s.coord.Views(now)
+		reply.Jobs = append(reply.Jobs, s.recent...)
+		sort.SliceStable(reply.Jobs, func(i, k int) bool { return reply.Jobs[i].Job.Spec.Key.Less(reply.Jobs[k].Job.Spec.Key) })
+	}
+	return reply
+}
+
 // Snapshot returns the policy's present view, for checks of guarantees.
 func (s *Service) Snapshot(ctx context.Context) (*placement.Snapshot, error) {
 	return ask(ctx, s, s.coord.Snapshot)
