--- /dev/null
+++ b/internal/processtest/tls_test.go
@@ -0,0 +1,163 @@
+package processtest
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"masticcart.example/masticcart/internal/model"
+	"masticcart.example/masticcart/internal/protocol"
+	"masticcart.example/masticcart/internal/rpc"
+	"masticcart.example/masticcart/internal/settings"
+)
+
+// authority signs the certificates of one test.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pool *x509.CertPool
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t, pool: x509.NewCertPool()}
+	a.cert = &x509.Certificate{Subject: pkix.Name{CommonName: "test authority"}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign}
+	a.cert, a.key = a.sign(a.cert)
+	a.pool.AddCert(a.cert)
+	return a
+}
+
+// sign completes and signs a certificate; the authority's own one is the first.
+func (a *authority) sign(template *x509.Certificate) (*x509.Certificate, *ecdsa.PrivateKey) {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	signer := a.key
+	if signer == nil {
+		signer = key
+	}
+	template.SerialNumber, template.NotBefore, template.NotAfter = big.NewInt(1), time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, signer)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return cert, key
+}
+
+// issue returns a certificate for processes on loopback.
+func (a *authority) issue() tls.Certificate {
+	a.t.Helper()
+	cert, key := a.sign(&x509.Certificate{Subject: pkix.Name{CommonName: "process"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}})
+	return tls.Certificate{Certificate: [][]byte{cert.Raw}, PrivateKey: key}
+}
+
+func (a *authority) write(path, kind string, der []byte) string {
+	a.t.Helper()
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return path
+}
+
+// secure adds certificates to the settings of all daemons of a deployment.
+func (a *authority) secure(d *deployment) {
+	d.Helper()
+	cert := a.issue()
+	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		d.Fatal(err)
+	}
+	dir := d.layout.Dir
+	block, err := json.Marshal(map[string]any{"verify_clients": true, "key": a.write(filepath.Join(dir, "process.key"), "PRIVATE KEY", key),
+		"certificate": a.write(filepath.Join(dir, "process.pem"), "CERTIFICATE", cert.Certificate[0]),
+		"ca":          a.write(filepath.Join(dir, "ca.pem"), "CERTIFICATE", a.cert.Raw)})
+	if err != nil {
+		d.Fatal(err)
+	}
+	for _, p := range d.layout.Processes {
+		if p.Program != "masticcartd" {
+			continue
+		}
+		data, err := os.ReadFile(p.Args[1])
+		if err != nil {
+			d.Fatal(err)
+		}
+		data = bytes.Replace(data, []byte("{"), []byte(`{"tls":`+string(block)+","), 1)
+		if err := os.WriteFile(p.Args[1], data, 0o600); err != nil {
+			d.Fatal(err)
+		}
+	}
+	d.tls = &tls.Config{RootCAs: a.pool, MinVersion: tls.VersionTLS13}
+	d.http.Transport = &http.Transport{TLSClientConfig: d.tls}
+}
+
+// TestTLS guards against processes that cannot work together over TLS, and against RPC sessions that are open to
+// clients without a certificate of the deployment's authority.
+func TestTLS(t *testing.T) {
+	t.Parallel()
+	a := newAuthority(t)
+	d := deploy(t, sizes(1, 2), a.secure)
+	_, address := d.owner("riga")
+	c := d.client(tokenOf(teamA), address)
+	d.request(c, "request", 100*time.Millisecond, model.ResultDone)
+	d.startGang("gang", time.Second)
+	d.finish()
+	d.check()
+
+	entry, err := settings.Load(filepath.Join(d.layout.Dir, "entry-riga-1.jsonc"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger := newAuthority(t)
+	for name, s := range map[string]struct {
+		config *tls.Config
+		opens  bool
+	}{
+		"own certificate":           {&tls.Config{RootCAs: a.pool, Certificates: []tls.Certificate{a.issue()}}, true},
+		"no certificate":            {&tls.Config{RootCAs: a.pool}, false},
+		"another authority":         {&tls.Config{RootCAs: a.pool, Certificates: []tls.Certificate{stranger.issue()}}, false},
+		"plain TCP":                 {nil, false},
+		"server of other authority": {&tls.Config{RootCAs: stranger.pool, Certificates: []tls.Certificate{a.issue()}}, false},
+	} {
+		if err := openSession(entry.Entry.RPCListen, s.config); (err == nil) != s.opens {
+			t.Errorf("%s: %v, want a session: %t", name, err, s.opens)
+		}
+	}
+	d.request(c, "after", 0, model.ResultDone)
+}
+
+// openSession opens a session with an entry and makes one call.
+func openSession(address string, config *tls.Config) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	conn, err := rpc.Dial(ctx, address, config, rpc.Handlers{}, &rpc.Meter{})
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	var reply protocol.ConfigReply
+	return conn.Call(ctx, protocol.MethodConfig, protocol.ConfigArgs{}, &reply)
+}
