--- a/internal/faulttest/regress_test.go
+++ b/internal/faulttest/regress_test.go
@@ -158,7 +158,9 @@
 	r := claimed("x", 1, 2)
 	r.Job.Members = []model.Member{{Agent: "w", Incarnation: "2", Units: 8}}
 	b.Loaded(b.now, r)
-	b.Tick(b.now.Add(100 * time.Millisecond))
+	for i := range 10 { // the decision and the write come in different ticks
+		b.Tick(b.now.Add(time.Duration(i+1) * 100 * time.Millisecond))
+	}
 	if w := find[cell.WriteAction](b.Drain()); len(w) > 0 {
 		t.Errorf("the record was written on an old view: %+v", w)
 	}
@@ -177,3 +179,23 @@
 		t.Errorf("5 and 3 of 8 units must be held and 4 refused between them, %d are free", l.Free())
 	}
 }
+
+// TestStoppingTaskKeepsItsUnits guards against accelerators that are given to another job before the task on them
+// has ended.
+func TestStoppingTaskKeepsItsUnits(t *testing.T) {
+	l := agent.NewLedger(regressID)
+	l.Extend(epoch)
+	ref := protocol.TaskRef{Job: regressSpec.Key, Attempt: 1, Claim: "x"}
+	l.Hold(epoch, protocol.HoldArgs{Incarnation: "1", Attempt: 1, Claim: "x", Units: 8, Spec: regressSpec})
+	l.Start(epoch, protocol.StartArgs{Incarnation: "1", Task: ref})
+	if reply, halt := l.Stop(epoch, protocol.StopArgs{Incarnation: "1", Task: ref}); reply != nil || halt == nil {
+		t.Fatalf("stop of a running task: %+v, %+v", reply, halt)
+	}
+	if l.Free() != 0 {
+		t.Errorf("%d units are free while the task stops", l.Free())
+	}
+	l.Ended(ref, protocol.TaskStopped, nil, "")
+	if l.Free() != 8 {
+		t.Errorf("%d units are free after the task has ended", l.Free())
+	}
+}
