Refuse a shape at once when the view of the cell is settled

Change: refusals wait until no new upstream was announced for 3 s, which is an agent's longest pause between dials and the bound of one dial. Ruled out: no pause at all, since an entry that restarted would refuse for ever what does not fit the first few workers.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -28,6 +28,7 @@
 	estimates estimates
 	dirty     bool
 	plannedAt time.Time
+	grownAt   time.Time // when an upstream was last added to the view
 	out       []Action
 	finished  func(model.Job)
 }
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -65,8 +65,8 @@
 		return
 	}
 	late := !j.record.Job.Spec.Deadline.IsZero() && now.After(j.record.Job.Spec.Deadline)
-	if now.Sub(c.ownedAt) < settleTime && !late {
-		j.reason, j.wouldChange = x.Reason, "the owner of the cell is new and may not know all workers yet"
+	if now.Sub(c.grownAt) < settleTime && !late {
+		j.reason, j.wouldChange = x.Reason, "upstreams are still announcing themselves to the owner of the cell"
 		return
 	}
 	o := model.Outcome{Result: model.ResultRefused, Reason: x.Reason}
--- a/internal/cell/types.go
+++ b/internal/cell/types.go
@@ -112,9 +112,10 @@
 	// orphanDelay is how long a task may be unknown to the owner before its record is read. The job may be on its
 	// way through the platform's watch.
 	orphanDelay = 5 * time.Second
-	// settleTime is how long a new owner refuses nothing for lack of a block: a refusal is final, and some agents
-	// may not have found the new owner yet.
-	settleTime = protocol.AgentLease + 2*time.Second
+	// settleTime is how long after the last new upstream nothing is refused for lack of a block: a refusal is
+	// final, and after a restart of this entry agents find it one after the other. An agent dials again after at
+	// most 2 s and gives up a dial after 1 s.
+	settleTime = 3 * time.Second
 	// rereadWaiting bounds the records of waiting jobs that a listing reads again although their index entry has
 	// not changed: the touch of a process that finished one may have failed.
 	rereadWaiting = 50
--- a/internal/cell/upstreams.go
+++ b/internal/cell/upstreams.go
@@ -16,6 +16,7 @@
 	if u == nil {
 		u = &upstream{}
 		c.upstreams[id] = u
+		c.grownAt = now
 	}
 	if u.identity.Incarnation != a.Identity.Incarnation {
 		u.health = health{}
