--- a/internal/standin/kv/admin.go
+++ b/internal/standin/kv/admin.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/platform/memstore"
+	"masticcart.example/masticcart/internal/standin/process"
 )
 
 // FaultsRequest changes the simulated faults. Fields that are absent keep their value; Reset first clears all.
@@ -61,9 +62,9 @@
 	}
 	s.store.SetFaults(f)
 	klog.InfoS("Set faults", "down", f.Down, "slow", f.Slow, "loseAnswers", f.LoseAnswers)
-	answer(w, http.StatusOK, FaultsResponse{Down: f.Down, SlowMS: f.Slow.Milliseconds(), LoseAnswers: f.LoseAnswers})
+	process.WriteJSON(w, http.StatusOK, FaultsResponse{Down: f.Down, SlowMS: f.Slow.Milliseconds(), LoseAnswers: f.LoseAnswers})
 }
 
 func (s *Server) stats(w http.ResponseWriter, _ *http.Request) {
-	answer(w, http.StatusOK, s.store.Stats())
+	process.WriteJSON(w, http.StatusOK, s.store.Stats())
 }
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -63,3 +64,17 @@
 	}
 	return nil
 }
+
+// WriteJSON answers a request.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		klog.ErrorS(err, "Encode response")
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if _, err := w.Write(data); err != nil {
+		klog.V(1).InfoS("Write response", "err", err)
+	}
+}
