Serve metrics over TLS as well

Ruled out: client certificates there, since scrapers rarely have one of this authority. Measured: TestTLS passes; it checks https 200 and http 400 at an entry and at an agent.

--- a/internal/processtest/tls_test.go
+++ b/internal/processtest/tls_test.go
@@ -147,6 +147,25 @@
 		}
 	}
 	d.request(c, "after", 0, model.ResultDone)
+	for _, process := range []string{"entry-riga-1", "agent-worker-riga-1"} {
+		d.checkMetrics(d.layout.Metrics[process])
+	}
+}
+
+// checkMetrics guards against a metrics listener that stays open without TLS.
+func (d *deployment) checkMetrics(address string) {
+	d.Helper()
+	for scheme, want := range map[string]int{"https": http.StatusOK, "http": http.StatusBadRequest} {
+		resp, err := d.http.Get(scheme + "://" + address + "/metrics")
+		if err != nil {
+			d.Errorf("metrics over %s: %v", scheme, err)
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			d.Errorf("metrics over %s: status %d, want %d", scheme, resp.StatusCode, want)
+		}
+	}
 }
 
 // openSession opens a session with an entry and makes one call.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/settings"
+	"masticcart.example/masticcart/internal/transport"
 )
 
 const (
@@ -47,7 +49,7 @@
 type Ready func() error
 
 // Serve adds the listener for metrics and health to the life of the process, if the settings name one.
-func Serve(lc fx.Lifecycle, s *settings.Settings, m *Metrics, ready Ready) {
+func Serve(lc fx.Lifecycle, s *settings.Settings, m *Metrics, ready Ready, t *transport.Config) {
 	lc.Append(fx.Hook{OnStop: func(context.Context) error { return m.close.Close() }})
 	if s.Metrics.Listen == "" {
 		return
@@ -63,6 +65,9 @@
 			if err != nil {
 				return err
 			}
+			if t.API != nil {
+				l = tls.NewListener(l, t.API)
+			}
 			go func() {
 				if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 					klog.ErrorS(err, "Metrics listener failed")
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -12,7 +12,7 @@
 
 // Config holds the TLS configurations of a process. All are nil when the settings name no certificate.
 type Config struct {
-	API    *tls.Config // the listener for callers and operators
+	API    *tls.Config // the listeners for callers, operators and scrapers
 	Listen *tls.Config // the listener for the system's own processes
 	Dial   *tls.Config // connections to the system's own processes
 }
