Keep the demo's files apart from those of the capacity run

Cause: the demo removes its folder at the start, and the capacity run keeps its files inside the same one; a demo beside a capacity run broke the latter. Change: .run/demo instead of .run.

--- a/cmd/masticcart-demo/main.go
+++ b/cmd/masticcart-demo/main.go
@@ -12,7 +12,7 @@
 )
 
 func main() {
-	dir := &cli.StringFlag{Name: "dir", Value: ".run", Usage: "folder of the settings and logs"}
+	dir := &cli.StringFlag{Name: "dir", Value: ".run/demo", Usage: "folder of the settings and logs"}
 	app := &cli.Command{
 		Name:  "masticcart-demo",
 		Usage: "the demo deployment on loopback",
