Metric names as documented; remove a method without callers

Ruled out: the queries of the README and the other metric names, which answer as documented. Measured: /metrics of an entry shows masticcart_api_latency; the demo holds; go test of entry, faulttest and capacity passes, the linter is clean.

--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -356,11 +356,6 @@
 	return reply
 }
 
-// Snapshot returns the policy's present view, for checks of guarantees.
-func (s *Service) Snapshot(ctx context.Context) (*placement.Snapshot, error) {
-	return ask(ctx, s, s.coord.Snapshot)
-}
-
 // Wait returns the record of an open job once it has finished, or its present state when ctx ends. It
 // returns false for a job that this entry does not own.
 func (s *Service) Wait(ctx context.Context, key model.JobKey) (model.Job, bool, error) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -112,9 +112,9 @@
 		}
 		out, err := s.serve(w, r, h)
 		scope := s.scope.Tagged(map[string]string{"path": path})
-		scope.Timer("api_latency").Record(time.Since(started))
+		scope.Timer("latency").Record(time.Since(started))
 		if err != nil {
-			scope.Tagged(map[string]string{"code": codeOf(err)}).Counter("api_errors").Inc(1)
+			scope.Tagged(map[string]string{"code": codeOf(err)}).Counter("errors").Inc(1)
 			s.writeError(w, err)
 			return
 		}
