--- a/cmd/standin-kv/main.go
+++ b/cmd/standin-kv/main.go
@@ -8,7 +8,7 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
-	"masticcart.example/masticcart/internal/platform/memstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/internal/standin/kv"
 	"masticcart.example/masticcart/internal/standin/process"
 )
--- a/internal/capacity/runner.go
+++ b/internal/capacity/runner.go
@@ -15,8 +15,8 @@
 	"masticcart.example/masticcart/internal/client"
 	"masticcart.example/masticcart/internal/client/api"
 	"masticcart.example/masticcart/internal/config"
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/model"
-	"masticcart.example/masticcart/internal/platform"
 )
 
 const (
@@ -119,7 +119,7 @@
 
 // setTeams writes a configuration with so many teams, each with a token and a quota.
 func (r *runner) setTeams(ctx context.Context, n int) error {
-	store := platform.NewHTTP([]string{r.procs.platform}, 2*time.Second, nil)
+	store := kvstore.NewHTTP([]string{r.procs.platform}, 2*time.Second, nil)
 	defer store.Close()
 	_, err := config.NewRepository(store).Change(ctx, config.AnyBase, func(c *model.Config) error {
 		c.Teams = sampleTeams(n)
--- a/internal/capacity/scrape.go
+++ b/internal/capacity/scrape.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"masticcart.example/masticcart/internal/platform/memstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 )
 
 // Names of the counters that the daemons export.
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -13,9 +13,9 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/placement"
-	"masticcart.example/masticcart/internal/platform"
 	"masticcart.example/masticcart/internal/protocol"
 )
 
@@ -304,7 +304,7 @@
 	resync := time.Now().Add(resyncInterval)
 	for time.Now().Before(resync) {
 		changes, next, err := s.store.WatchOpen(ctx, s.cell, rev, watchWait)
-		if errors.Is(err, platform.ErrCompacted) {
+		if errors.Is(err, kvstore.ErrCompacted) {
 			return nil
 		}
 		if err != nil {
--- a/internal/cell/types.go
+++ b/internal/cell/types.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/model"
-	"masticcart.example/masticcart/internal/platform"
 	"masticcart.example/masticcart/internal/protocol"
 )
 
@@ -201,8 +201,8 @@
 type job struct {
 	key         model.JobKey
 	record      jobs.Record
-	loaded      bool              // the record has been read
-	index       platform.Revision // of the index entry when the record was last asked for
+	loaded      bool             // the record has been read
+	index       kvstore.Revision // of the index entry when the record was last asked for
 	readAt      time.Time
 	unstarted   int // claimed attempts in a row of which nothing started
 	phase       phase
--- a/internal/config/repository.go
+++ b/internal/config/repository.go
@@ -10,8 +10,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/model"
-	"masticcart.example/masticcart/internal/platform"
 )
 
 // HeadKey is the platform key of the document.
@@ -53,12 +53,12 @@
 
 // Repository reads and changes the document in the platform. It is safe for concurrent use.
 type Repository struct {
-	store    platform.Store
+	store    kvstore.Store
 	newNonce func() string
 }
 
 // NewRepository returns a repository over the store.
-func NewRepository(store platform.Store) *Repository {
+func NewRepository(store kvstore.Store) *Repository {
 	return &Repository{store: store, newNonce: uuid.NewString}
 }
 
@@ -113,9 +113,9 @@
 }
 
 // read returns the stored document and its revision; zero stands for a document that does not exist yet.
-func (r *Repository) read(ctx context.Context) (*document, platform.Revision, error) {
+func (r *Repository) read(ctx context.Context) (*document, kvstore.Revision, error) {
 	entry, err := r.store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return &document{}, 0, nil
 	}
 	if err != nil {
@@ -126,25 +126,25 @@
 }
 
 // write reports whether the document became the head. An error other than ErrUnknownOutcome means that it did not.
-func (r *Repository) write(ctx context.Context, doc *document, expect platform.Revision) (bool, error) {
+func (r *Repository) write(ctx context.Context, doc *document, expect kvstore.Revision) (bool, error) {
 	value, err := json.Marshal(doc)
 	if err != nil {
 		return false, &InvalidError{err}
 	}
-	if len(value) > platform.MaxValueBytes {
-		return false, fmt.Errorf("%w: %d bytes, the limit is %d", ErrTooLarge, len(value), platform.MaxValueBytes)
+	if len(value) > kvstore.MaxValueBytes {
+		return false, fmt.Errorf("%w: %d bytes, the limit is %d", ErrTooLarge, len(value), kvstore.MaxValueBytes)
 	}
 	_, err = r.store.Put(ctx, HeadKey, value, expect, 0)
 	switch {
 	case err == nil:
 		return true, nil
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, kvstore.ErrUnknownOutcome):
 		return r.resolve(ctx, doc, value, expect)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kvstore.ErrConflict):
 		return false, nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, kvstore.ErrUnavailable):
 		return false, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, kvstore.ErrTooLarge):
 		return false, fmt.Errorf("%w: %w", ErrTooLarge, err)
 	}
 	// Any other error proves nothing.
@@ -154,7 +154,7 @@
 // resolve finds out whether a write whose answer was lost took effect. While the head still has the expected
 // revision, the lost write may yet arrive; repeating it settles that, since only one of the two can win the
 // compare-and-swap and both carry the same value.
-func (r *Repository) resolve(ctx context.Context, doc *document, value []byte, expect platform.Revision) (bool, error) {
+func (r *Repository) resolve(ctx context.Context, doc *document, value []byte, expect kvstore.Revision) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTimeout)
 	defer cancel()
 	pause := newBackOff(retryInitial, retryMax)
--- a/internal/config/repository_test.go
+++ b/internal/config/repository_test.go
@@ -19,9 +19,9 @@
 	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
+	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/internal/model"
-	"masticcart.example/masticcart/internal/platform"
-	"masticcart.example/masticcart/internal/platform/memstore"
 )
 
 func TestMain(m *testing.M) {
@@ -39,8 +39,8 @@
 	wg     sync.WaitGroup
 }
 
-func (s *lateStore) Put(ctx context.Context, key string, value []byte, expect platform.Revision, id platform.LeaseID) (
-	platform.Revision, error) {
+func (s *lateStore) Put(ctx context.Context, key string, value []byte, expect kvstore.Revision, id kvstore.LeaseID) (
+	kvstore.Revision, error) {
 	s.mu.Lock()
 	late, dropped, delay := s.random.Float64() < s.late, s.random.IntN(3) == 0, time.Duration(s.random.IntN(400))*time.Millisecond
 	s.mu.Unlock()
@@ -53,7 +53,7 @@
 			_, _ = s.Store.Put(context.Background(), key, value, expect, id)
 		})
 	}
-	return 0, platform.ErrUnknownOutcome
+	return 0, kvstore.ErrUnknownOutcome
 }
 
 // call and answer are one operation of the history that porcupine checks. Bit is the mark that a change adds.
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -8,7 +8,7 @@
 
 	"k8s.io/klog/v2"
 
-	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/kvstore"
 )
 
 const (
@@ -22,12 +22,12 @@
 
 // Watcher follows the document in the platform and hands each version to an applier.
 type Watcher struct {
-	store   platform.Store
+	store   kvstore.Store
 	applier *Applier
 }
 
 // NewWatcher returns a watcher; Run starts it.
-func NewWatcher(store platform.Store, applier *Applier) *Watcher {
+func NewWatcher(store kvstore.Store, applier *Applier) *Watcher {
 	return &Watcher{store: store, applier: applier}
 }
 
@@ -59,7 +59,7 @@
 	}
 	for {
 		events, next, err := w.store.Watch(ctx, HeadKey, since, watchWait)
-		if errors.Is(err, platform.ErrCompacted) {
+		if errors.Is(err, kvstore.ErrCompacted) {
 			succeeded() // the service answers, so the next read needs no long pause
 		}
 		if err != nil {
@@ -75,7 +75,7 @@
 	}
 }
 
-func (w *Watcher) apply(e platform.Entry) {
+func (w *Watcher) apply(e kvstore.Entry) {
 	if e.Key != HeadKey {
 		return
 	}
--- a/internal/entry/fx.go
+++ b/internal/entry/fx.go
@@ -14,10 +14,10 @@
 	"masticcart.example/masticcart/internal/cell"
 	"masticcart.example/masticcart/internal/config"
 	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/membership"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/placement"
-	"masticcart.example/masticcart/internal/platform"
 	"masticcart.example/masticcart/internal/protocol"
 	"masticcart.example/masticcart/internal/routing"
 	"masticcart.example/masticcart/internal/rpc"
@@ -39,8 +39,8 @@
 // ownership tells whether this entry owns its cell.
 type ownership func(now time.Time) bool
 
-func newStore(s *settings.Settings) platform.Store {
-	return platform.NewHTTP(s.Entry.Platform.Addresses, s.Entry.Platform.Timeout, nil)
+func newStore(s *settings.Settings) kvstore.Store {
+	return kvstore.NewHTTP(s.Entry.Platform.Addresses, s.Entry.Platform.Timeout, nil)
 }
 
 func newTable(s *settings.Settings) *membership.Table {
@@ -54,16 +54,16 @@
 	return func(now time.Time) bool { return now.Sub(started) > protocol.PeerTimeout && t.Owner(now) }
 }
 
-func newRepository(s platform.Store) *config.Repository { return config.NewRepository(s) }
+func newRepository(s kvstore.Store) *config.Repository { return config.NewRepository(s) }
 
-func newConfigSync(s platform.Store, own ownership) *ConfigSync {
+func newConfigSync(s kvstore.Store, own ownership) *ConfigSync {
 	a := config.NewApplier()
 	return NewConfigSync(a, config.NewWatcher(s, a), own)
 }
 
-func newJobs(s platform.Store) *jobs.Store { return jobs.NewStore(s, time.Now) }
+func newJobs(s kvstore.Store) *jobs.Store { return jobs.NewStore(s, time.Now) }
 
-func newPeers(s *settings.Settings, t *membership.Table, store platform.Store, tc *transport.Config, m *telemetry.Metrics) *Peers {
+func newPeers(s *settings.Settings, t *membership.Table, store kvstore.Store, tc *transport.Config, m *telemetry.Metrics) *Peers {
 	return &Peers{table: t, store: store, tls: tc.Dial, meter: &rpc.Meter{}, scope: m.Scope, seeds: s.Entry.Peers,
 		conns: make(map[string]*rpc.Conn), alive: make(map[string]bool)}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -11,8 +11,8 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/membership"
-	"masticcart.example/masticcart/internal/platform"
 	"masticcart.example/masticcart/internal/protocol"
 	"masticcart.example/masticcart/internal/rpc"
 )
@@ -29,7 +29,7 @@
 // Peers keeps connections to other entries and exchanges gossip with them.
 type Peers struct {
 	table *membership.Table
-	store platform.Store
+	store kvstore.Store
 	tls   *tls.Config
 	meter *rpc.Meter
 	scope tally.Scope
@@ -169,7 +169,7 @@
 // Register keeps this entry's address in the platform under a lease and learns the others' addresses. During
 // an outage gossip alone keeps the members together.
 func (p *Peers) Register(ctx context.Context, id, cellName, address string) {
-	var lease platform.LeaseID
+	var lease kvstore.LeaseID
 	renewed, listed := time.Time{}, time.Time{}
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -197,7 +197,7 @@
 }
 
 // renew keeps the lease alive, or registers anew when there is none.
-func (p *Peers) renew(ctx context.Context, lease platform.LeaseID, id, cellName, address string) platform.LeaseID {
+func (p *Peers) renew(ctx context.Context, lease kvstore.LeaseID, id, cellName, address string) kvstore.LeaseID {
 	callCtx, cancel := context.WithTimeout(ctx, renewInterval)
 	defer cancel()
 	if lease != 0 && p.store.KeepAlive(callCtx, lease) == nil {
@@ -213,7 +213,7 @@
 		return 0
 	}
 	key := registrationPrefix + cellName + "/" + id
-	expect := platform.Revision(0)
+	expect := kvstore.Revision(0)
 	if e, err := p.store.Get(callCtx, key); err == nil {
 		expect = e.Revision // left by an earlier process of this name
 	}
@@ -242,7 +242,7 @@
 	p.table.Know(time.Now(), addresses)
 }
 
-func (p *Peers) unregister(lease platform.LeaseID) {
+func (p *Peers) unregister(lease kvstore.LeaseID) {
 	if lease == 0 {
 		return
 	}
--- a/internal/faulttest/entry_test.go
+++ b/internal/faulttest/entry_test.go
@@ -11,10 +11,10 @@
 	"masticcart.example/masticcart/internal/cell"
 	"masticcart.example/masticcart/internal/config"
 	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/membership"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/placement"
-	"masticcart.example/masticcart/internal/platform"
 	"masticcart.example/masticcart/internal/protocol"
 )
 
@@ -227,7 +227,7 @@
 	read := false
 	for {
 		if !read || e.isOwner() {
-			c, err := config.NewRepository(platform.Store(e.w.kv.client(e.proc, wait, apiLimit))).Load(context.Background())
+			c, err := config.NewRepository(kvstore.Store(e.w.kv.client(e.proc, wait, apiLimit))).Load(context.Background())
 			if err == nil {
 				read = true
 				e.w.oracle.apply(e.proc, e.applier, c)
--- a/internal/faulttest/platform_test.go
+++ b/internal/faulttest/platform_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"masticcart.example/masticcart/internal/jobs"
-	"masticcart.example/masticcart/internal/platform"
-	"masticcart.example/masticcart/internal/platform/memstore"
+	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 )
 
 const (
@@ -38,7 +38,7 @@
 	return k.between(300*time.Microsecond, 3*time.Millisecond) + k.between(0, k.slow)
 }
 
-// kvClient is a platform.Store for one operation in a coroutine.
+// kvClient is a kvstore.Store for one operation in a coroutine.
 type kvClient struct {
 	*keyValue
 	from     *proc
@@ -46,7 +46,7 @@
 	deadline time.Time
 }
 
-var _ platform.Store = (*kvClient)(nil)
+var _ kvstore.Store = (*kvClient)(nil)
 
 // client returns a store for an operation of at most limit.
 func (k *keyValue) client(from *proc, wait func(time.Duration) bool, limit time.Duration) *kvClient {
@@ -75,33 +75,33 @@
 
 func (c *kvClient) read() error {
 	if !c.sleep(c.delay()) || c.down || c.cut[c.from.name] {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (c *kvClient) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kvstore.Store.
+func (c *kvClient) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if err := c.read(); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	e, err := c.mem.Get(ctx, key)
 	if !c.sleep(c.delay()) {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kvstore.Entry{}, kvstore.ErrUnavailable
 	}
 	return e, err
 }
 
-// Range implements platform.Store.
-func (c *kvClient) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Entry, platform.Revision, error) {
+// Range implements kvstore.Store.
+func (c *kvClient) Range(ctx context.Context, prefix, after string, limit int) ([]kvstore.Entry, kvstore.Revision, error) {
 	if err := c.read(); err != nil {
 		return nil, 0, err
 	}
 	return c.mem.Range(ctx, prefix, after, limit)
 }
 
-// Watch implements platform.Store without waiting; the callers poll.
-func (c *kvClient) Watch(ctx context.Context, prefix string, since platform.Revision, _ time.Duration) ([]platform.Event, platform.Revision, error) {
+// Watch implements kvstore.Store without waiting; the callers poll.
+func (c *kvClient) Watch(ctx context.Context, prefix string, since kvstore.Revision, _ time.Duration) ([]kvstore.Event, kvstore.Revision, error) {
 	if err := c.read(); err != nil {
 		return nil, 0, err
 	}
@@ -111,29 +111,29 @@
 // change carries out a write. The effect comes at its own time, even if the client has given up or crashed.
 func (c *kvClient) change(effect func() error) error {
 	if !c.now.Before(c.deadline) {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	var err error
 	before, back := c.delay(), c.delay()
 	c.after(before, func() {
 		if c.down || c.cut[c.from.name] {
-			err = platform.ErrUnavailable
+			err = kvstore.ErrUnavailable
 			return
 		}
 		err = effect()
 	})
 	if !c.sleep(before + back) {
-		return platform.ErrUnknownOutcome
+		return kvstore.ErrUnknownOutcome
 	}
-	if !errors.Is(err, platform.ErrUnavailable) && c.chance(c.lost) {
-		return platform.ErrUnknownOutcome
+	if !errors.Is(err, kvstore.ErrUnavailable) && c.chance(c.lost) {
+		return kvstore.ErrUnknownOutcome
 	}
 	return err
 }
 
-// Put implements platform.Store.
-func (c *kvClient) Put(ctx context.Context, key string, value []byte, expect platform.Revision, lease platform.LeaseID) (platform.Revision, error) {
-	var rev platform.Revision
+// Put implements kvstore.Store.
+func (c *kvClient) Put(ctx context.Context, key string, value []byte, expect kvstore.Revision, lease kvstore.LeaseID) (kvstore.Revision, error) {
+	var rev kvstore.Revision
 	err := c.change(func() (err error) {
 		rev, err = c.mem.Put(ctx, key, value, expect, lease)
 		if err == nil {
@@ -144,23 +144,23 @@
 	return rev, err
 }
 
-// Delete implements platform.Store.
-func (c *kvClient) Delete(ctx context.Context, key string, expect platform.Revision) error {
+// Delete implements kvstore.Store.
+func (c *kvClient) Delete(ctx context.Context, key string, expect kvstore.Revision) error {
 	return c.change(func() error { return c.mem.Delete(ctx, key, expect) })
 }
 
 var errUnused = errors.New("leases are not simulated: membership is fed by gossip")
 
-// Grant implements platform.Store.
-func (c *kvClient) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+// Grant implements kvstore.Store.
+func (c *kvClient) Grant(context.Context, time.Duration) (kvstore.LeaseID, error) {
 	return 0, errUnused
 }
 
-// KeepAlive implements platform.Store.
-func (c *kvClient) KeepAlive(context.Context, platform.LeaseID) error { return errUnused }
+// KeepAlive implements kvstore.Store.
+func (c *kvClient) KeepAlive(context.Context, kvstore.LeaseID) error { return errUnused }
 
-// Revoke implements platform.Store.
-func (c *kvClient) Revoke(context.Context, platform.LeaseID) error { return errUnused }
+// Revoke implements kvstore.Store.
+func (c *kvClient) Revoke(context.Context, kvstore.LeaseID) error { return errUnused }
 
 // openKeys lists the open index as it is.
 func (k *keyValue) openKeys() []string {
--- a/internal/faulttest/regress_test.go
+++ b/internal/faulttest/regress_test.go
@@ -7,9 +7,9 @@
 	"masticcart.example/masticcart/internal/agent"
 	"masticcart.example/masticcart/internal/cell"
 	"masticcart.example/masticcart/internal/jobs"
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/placement"
-	"masticcart.example/masticcart/internal/platform"
 	"masticcart.example/masticcart/internal/protocol"
 )
 
@@ -67,7 +67,7 @@
 	return found
 }
 
-func claimed(claim string, attempt int, rev platform.Revision) jobs.Record {
+func claimed(claim string, attempt int, rev kvstore.Revision) jobs.Record {
 	return jobs.Record{Revision: rev, Job: model.Job{Spec: regressSpec, Cell: "c", State: model.JobClaimed, Attempt: attempt, Claim: claim,
 		Members: []model.Member{regressMember}}}
 }
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -13,8 +13,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
 
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/model"
-	"masticcart.example/masticcart/internal/platform"
 )
 
 // Errors of this package.
@@ -46,18 +46,18 @@
 // Record is a job with the revision that the next write must name.
 type Record struct {
 	Job      model.Job
-	Revision platform.Revision
+	Revision kvstore.Revision
 }
 
 // Store reads and writes job records.
 type Store struct {
-	kv    platform.Store
+	kv    kvstore.Store
 	now   func() time.Time
 	pause func(ctx context.Context, d time.Duration) error
 }
 
 // NewStore returns a store over the platform's service.
-func NewStore(kv platform.Store, now func() time.Time) *Store {
+func NewStore(kv kvstore.Store, now func() time.Time) *Store {
 	return &Store{kv: kv, now: now, pause: sleep}
 }
 
@@ -88,13 +88,13 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, kvstore.ErrNotFound):
 		return merry.Wrap(ErrNotFound, merry.WithCause(err))
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kvstore.ErrConflict):
 		return merry.Wrap(ErrConflict, merry.WithCause(err))
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, kvstore.ErrUnknownOutcome):
 		return merry.Wrap(ErrUnknownOutcome, merry.WithCause(err))
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, kvstore.ErrUnavailable):
 		return merry.Wrap(ErrUnavailable, merry.WithCause(err))
 	}
 	return merry.Prepend(err, "jobs")
@@ -109,7 +109,7 @@
 	return decode(e)
 }
 
-func decode(e platform.Entry) (Record, error) {
+func decode(e kvstore.Entry) (Record, error) {
 	var j model.Job
 	if err := json.Unmarshal(e.Value, &j); err != nil {
 		return Record{}, merry.Wrap(ErrCorrupt, merry.AppendMessagef("%s: %v", e.Key, err))
@@ -119,14 +119,14 @@
 
 // Write replaces the record at the revision. A lost answer is read back; ErrUnknownOutcome remains only if
 // that fails too.
-func (s *Store) Write(ctx context.Context, job model.Job, at platform.Revision) (Record, error) {
+func (s *Store) Write(ctx context.Context, job model.Job, at kvstore.Revision) (Record, error) {
 	job.Nonce = uuid.NewString()
 	value, err := json.Marshal(job)
 	if err != nil {
 		return Record{}, merry.Prepend(err, "jobs: encode")
 	}
 	rev, err := s.kv.Put(ctx, recordKey(job.Spec.Key), value, at, 0)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, kvstore.ErrUnknownOutcome) {
 		return s.readBack(ctx, job)
 	}
 	if err != nil {
@@ -211,10 +211,10 @@
 		return merry.Prepend(err, "jobs: encode")
 	}
 	_, err = s.kv.Put(ctx, openKey(cell, key), stamp, 0, 0)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		return nil
 	}
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, kvstore.ErrUnknownOutcome) {
 		return s.restoreOpen(ctx, cell, key)
 	}
 	return translate(err)
@@ -222,7 +222,7 @@
 
 func (s *Store) restoreOpen(ctx context.Context, cell string, key model.JobKey) error {
 	_, err := s.kv.Get(ctx, openKey(cell, key))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return s.putOpen(ctx, cell, key)
 	}
 	return translate(err)
@@ -295,14 +295,14 @@
 // An entry that is gone belongs to a job that the owner has finished.
 func (s *Store) Touch(ctx context.Context, cell string, key model.JobKey) error {
 	e, err := s.kv.Get(ctx, openKey(cell, key))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
 		return translate(err)
 	}
 	_, err = s.kv.Put(ctx, e.Key, e.Value, e.Revision, 0)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		return nil // someone else touched it, after the record changed
 	}
 	return translate(err)
@@ -312,10 +312,10 @@
 type Open struct {
 	Key      model.JobKey
 	Removed  bool
-	Revision platform.Revision // changes when the record was changed by another process than the owner
+	Revision kvstore.Revision // changes when the record was changed by another process than the owner
 }
 
-func openOf(e platform.Entry) (Open, bool) {
+func openOf(e kvstore.Entry) (Open, bool) {
 	key, ok := parseOpenKey(e.Key)
 	if !ok {
 		return Open{}, false
@@ -324,10 +324,10 @@
 }
 
 // ListOpen returns the open jobs of a cell and the revision from which WatchOpen continues.
-func (s *Store) ListOpen(ctx context.Context, cell string) ([]Open, platform.Revision, error) {
+func (s *Store) ListOpen(ctx context.Context, cell string) ([]Open, kvstore.Revision, error) {
 	prefix := openPrefix + cell + "/"
 	var out []Open
-	var first platform.Revision
+	var first kvstore.Revision
 	after := ""
 	for {
 		entries, rev, err := s.kv.Range(ctx, prefix, after, rangeLimit)
@@ -350,7 +350,7 @@
 }
 
 // WatchOpen waits for changes of the open index after a revision.
-func (s *Store) WatchOpen(ctx context.Context, cell string, since platform.Revision, wait time.Duration) ([]Open, platform.Revision, error) {
+func (s *Store) WatchOpen(ctx context.Context, cell string, since kvstore.Revision, wait time.Duration) ([]Open, kvstore.Revision, error) {
 	events, rev, err := s.kv.Watch(ctx, openPrefix+cell+"/", since, wait)
 	if err != nil {
 		return nil, 0, translate(err)
@@ -369,7 +369,7 @@
 // again and removes.
 func (s *Store) RemoveOpen(ctx context.Context, cell string, key model.JobKey) error {
 	e, err := s.kv.Get(ctx, openKey(cell, key))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
--- a/internal/jobs/sweep_test.go
+++ b/internal/jobs/sweep_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/internal/model"
-	"masticcart.example/masticcart/internal/platform/memstore"
 )
 
 // Guards against a sweep that removes records of open jobs or of outcomes that callers can still ask for, and
--- a/internal/platform/http.go
+++ b/internal/kvstore/http.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
--- a/internal/platform/memstore/faults.go
+++ b/internal/kvstore/memstore/faults.go
@@ -7,16 +7,16 @@
 	"math/rand/v2"
 	"time"
 
-	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/kvstore"
 )
 
 // Faults are the failures that a store simulates. The zero value means none.
 type Faults struct {
-	// Down fails every call with platform.ErrUnavailable and without an effect.
+	// Down fails every call with kvstore.ErrUnavailable and without an effect.
 	Down bool
 	// Slow delays every call before it takes effect.
 	Slow time.Duration
-	// LoseAnswers is the probability that a write is carried out and answered with platform.ErrUnknownOutcome.
+	// LoseAnswers is the probability that a write is carried out and answered with kvstore.ErrUnknownOutcome.
 	// The answer to a write that was rejected is lost as well.
 	LoseAnswers float64
 }
@@ -113,7 +113,7 @@
 
 func (s *Store) usable(ctx context.Context) error {
 	if s.faults.Down {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	return contextError(ctx)
 }
@@ -124,7 +124,7 @@
 
 func contextError(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", kvstore.ErrUnavailable, err)
 	}
 	return nil
 }
--- a/internal/platform/memstore/lease.go
+++ b/internal/kvstore/memstore/lease.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/kvstore"
 )
 
 type lease struct {
@@ -17,7 +17,7 @@
 }
 
 // Grant creates a lease. Its deadline is measured by the store's clock.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	if err := s.enter(ctx, CallGrant); err != nil {
 		return 0, err
 	}
@@ -27,13 +27,13 @@
 	s.leases[id] = &lease{ttl: ttl, deadline: s.now().Add(ttl), keys: map[string]struct{}{}}
 	s.wake() // waiting watches have to take the new deadline into account
 	if s.loseAnswer() {
-		return 0, fmt.Errorf("grant: %w", platform.ErrUnknownOutcome)
+		return 0, fmt.Errorf("grant: %w", kvstore.ErrUnknownOutcome)
 	}
 	return id, nil
 }
 
-// KeepAlive renews a lease for its full duration, or returns platform.ErrLeaseNotFound.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive renews a lease for its full duration, or returns kvstore.ErrLeaseNotFound.
+func (s *Store) KeepAlive(ctx context.Context, id kvstore.LeaseID) error {
 	if err := s.enter(ctx, CallKeepAlive); err != nil {
 		return err
 	}
@@ -46,7 +46,7 @@
 }
 
 // Revoke ends a lease and deletes its keys.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+func (s *Store) Revoke(ctx context.Context, id kvstore.LeaseID) error {
 	if err := s.enter(ctx, CallRevoke); err != nil {
 		return err
 	}
@@ -58,12 +58,12 @@
 	return s.leaseAnswer("revoke", id, l)
 }
 
-func (s *Store) leaseAnswer(call string, id platform.LeaseID, l *lease) error {
+func (s *Store) leaseAnswer(call string, id kvstore.LeaseID, l *lease) error {
 	if s.loseAnswer() {
-		return fmt.Errorf("%s lease %d: %w", call, id, platform.ErrUnknownOutcome)
+		return fmt.Errorf("%s lease %d: %w", call, id, kvstore.ErrUnknownOutcome)
 	}
 	if l == nil {
-		return fmt.Errorf("%s lease %d: %w", call, id, platform.ErrLeaseNotFound)
+		return fmt.Errorf("%s lease %d: %w", call, id, kvstore.ErrLeaseNotFound)
 	}
 	return nil
 }
@@ -80,13 +80,13 @@
 // expire ends lapsed leases in the order of their deadlines, so that the events are the same in every run.
 func (s *Store) expire() {
 	now := s.now()
-	var lapsed []platform.LeaseID
+	var lapsed []kvstore.LeaseID
 	for id, l := range s.leases {
 		if !l.deadline.After(now) {
 			lapsed = append(lapsed, id)
 		}
 	}
-	slices.SortFunc(lapsed, func(a, b platform.LeaseID) int {
+	slices.SortFunc(lapsed, func(a, b kvstore.LeaseID) int {
 		if c := s.leases[a].deadline.Compare(s.leases[b].deadline); c != 0 {
 			return c
 		}
@@ -97,7 +97,7 @@
 	}
 }
 
-func (s *Store) endLease(id platform.LeaseID, l *lease) {
+func (s *Store) endLease(id kvstore.LeaseID, l *lease) {
 	for _, key := range slices.Sorted(maps.Keys(l.keys)) {
 		s.remove(key, s.items[key])
 	}
--- a/internal/platform/memstore/memstore.go
+++ b/internal/kvstore/memstore/memstore.go
@@ -1,4 +1,4 @@
-// Package memstore is an in-memory platform.Store with fault injection. It is the basis of the stand-in server and
+// Package memstore is an in-memory kvstore.Store with fault injection. It is the basis of the stand-in server and
 // of tests with a virtual clock.
 package memstore
 
@@ -12,19 +12,19 @@
 	"sync"
 	"time"
 
-	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/kvstore"
 )
 
-// Store is an in-memory platform.Store. It runs no goroutine: leases lapse on the next call, or on Expire.
+// Store is an in-memory kvstore.Store. It runs no goroutine: leases lapse on the next call, or on Expire.
 type Store struct {
 	now func() time.Time
 
 	mu       sync.Mutex
-	revision platform.Revision
+	revision kvstore.Revision
 	items    map[string]*item
 	keys     []string // sorted keys of items
-	leases   map[platform.LeaseID]*lease
-	leaseSeq platform.LeaseID
+	leases   map[kvstore.LeaseID]*lease
+	leaseSeq kvstore.LeaseID
 	history  history
 	changed  chan struct{} // closed and replaced whenever waiting watches have to look again
 	faults   Faults
@@ -32,12 +32,12 @@
 	stats    Stats
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ kvstore.Store = (*Store)(nil)
 
 type item struct {
 	value    []byte
-	revision platform.Revision
-	lease    platform.LeaseID
+	revision kvstore.Revision
+	lease    kvstore.LeaseID
 }
 
 // New returns an empty store that takes the time from now.
@@ -45,33 +45,33 @@
 	return &Store{
 		now:     now,
 		items:   map[string]*item{},
-		leases:  map[platform.LeaseID]*lease{},
+		leases:  map[kvstore.LeaseID]*lease{},
 		changed: make(chan struct{}),
 		random:  newRandom(1),
 		stats:   Stats{Calls: map[Call]int64{}},
 	}
 }
 
-// Get returns the entry of a key, or platform.ErrNotFound.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get returns the entry of a key, or kvstore.ErrNotFound.
+func (s *Store) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if err := s.enter(ctx, CallGet); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	defer s.mu.Unlock()
 	it, ok := s.items[key]
 	if !ok {
-		return platform.Entry{}, fmt.Errorf("get %q: %w", key, platform.ErrNotFound)
+		return kvstore.Entry{}, fmt.Errorf("get %q: %w", key, kvstore.ErrNotFound)
 	}
 	return entry(key, it), nil
 }
 
 // Range returns at most limit entries under the prefix after the given key. A limit below 1 means no limit.
-func (s *Store) Range(ctx context.Context, prefix, after string, limit int) ([]platform.Entry, platform.Revision, error) {
+func (s *Store) Range(ctx context.Context, prefix, after string, limit int) ([]kvstore.Entry, kvstore.Revision, error) {
 	if err := s.enter(ctx, CallRange); err != nil {
 		return nil, 0, err
 	}
 	defer s.mu.Unlock()
-	var entries []platform.Entry
+	var entries []kvstore.Entry
 	first, found := slices.BinarySearch(s.keys, max(prefix, after))
 	if found && s.keys[first] == after {
 		first++
@@ -86,10 +86,10 @@
 }
 
 // Put writes a value if the key has the expected revision.
-func (s *Store) Put(ctx context.Context, key string, value []byte, expect platform.Revision, id platform.LeaseID) (
-	platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, fmt.Errorf("put %q of %d bytes: %w", key, len(value), platform.ErrTooLarge)
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect kvstore.Revision, id kvstore.LeaseID) (
+	kvstore.Revision, error) {
+	if len(value) > kvstore.MaxValueBytes {
+		return 0, fmt.Errorf("put %q of %d bytes: %w", key, len(value), kvstore.ErrTooLarge)
 	}
 	if err := s.enter(ctx, CallPut); err != nil {
 		return 0, err
@@ -97,33 +97,33 @@
 	defer s.mu.Unlock()
 	revision, err := s.put(key, value, expect, id)
 	if s.loseAnswer() {
-		return 0, fmt.Errorf("put %q: %w", key, platform.ErrUnknownOutcome)
+		return 0, fmt.Errorf("put %q: %w", key, kvstore.ErrUnknownOutcome)
 	}
 	return revision, err
 }
 
 // Delete removes the key if it has the expected revision.
-func (s *Store) Delete(ctx context.Context, key string, expect platform.Revision) error {
+func (s *Store) Delete(ctx context.Context, key string, expect kvstore.Revision) error {
 	if err := s.enter(ctx, CallDelete); err != nil {
 		return err
 	}
 	defer s.mu.Unlock()
 	err := s.delete(key, expect)
 	if s.loseAnswer() {
-		return fmt.Errorf("delete %q: %w", key, platform.ErrUnknownOutcome)
+		return fmt.Errorf("delete %q: %w", key, kvstore.ErrUnknownOutcome)
 	}
 	return err
 }
 
-func (s *Store) put(key string, value []byte, expect platform.Revision, id platform.LeaseID) (platform.Revision, error) {
+func (s *Store) put(key string, value []byte, expect kvstore.Revision, id kvstore.LeaseID) (kvstore.Revision, error) {
 	it, exists := s.items[key]
 	if exists && it.revision != expect || !exists && expect != 0 {
-		return 0, fmt.Errorf("put %q at revision %d: %w", key, expect, platform.ErrConflict)
+		return 0, fmt.Errorf("put %q at revision %d: %w", key, expect, kvstore.ErrConflict)
 	}
 	var l *lease
 	if id != 0 {
 		if l = s.leases[id]; l == nil {
-			return 0, fmt.Errorf("put %q with lease %d: %w", key, id, platform.ErrLeaseNotFound)
+			return 0, fmt.Errorf("put %q with lease %d: %w", key, id, kvstore.ErrLeaseNotFound)
 		}
 	}
 	if exists {
@@ -139,18 +139,18 @@
 	}
 	s.revision++
 	it.value, it.revision, it.lease = bytes.Clone(value), s.revision, id
-	s.history.add(platform.Event{Entry: platform.Entry{Key: key, Value: it.value, Revision: it.revision}})
+	s.history.add(kvstore.Event{Entry: kvstore.Entry{Key: key, Value: it.value, Revision: it.revision}})
 	s.wake()
 	return it.revision, nil
 }
 
-func (s *Store) delete(key string, expect platform.Revision) error {
+func (s *Store) delete(key string, expect kvstore.Revision) error {
 	it, ok := s.items[key]
 	if !ok {
-		return fmt.Errorf("delete %q: %w", key, platform.ErrNotFound)
+		return fmt.Errorf("delete %q: %w", key, kvstore.ErrNotFound)
 	}
 	if it.revision != expect {
-		return fmt.Errorf("delete %q at revision %d: %w", key, expect, platform.ErrConflict)
+		return fmt.Errorf("delete %q at revision %d: %w", key, expect, kvstore.ErrConflict)
 	}
 	s.remove(key, it)
 	return nil
@@ -164,7 +164,7 @@
 		s.keys = slices.Delete(s.keys, at, at+1)
 	}
 	s.revision++
-	s.history.add(platform.Event{Entry: platform.Entry{Key: key, Revision: s.revision}, Deleted: true})
+	s.history.add(kvstore.Event{Entry: kvstore.Entry{Key: key, Revision: s.revision}, Deleted: true})
 	s.wake()
 }
 
@@ -180,6 +180,6 @@
 	s.changed = make(chan struct{})
 }
 
-func entry(key string, it *item) platform.Entry {
-	return platform.Entry{Key: key, Value: bytes.Clone(it.value), Revision: it.revision}
+func entry(key string, it *item) kvstore.Entry {
+	return kvstore.Entry{Key: key, Value: bytes.Clone(it.value), Revision: it.revision}
 }
--- a/internal/platform/memstore/memstore_test.go
+++ b/internal/kvstore/memstore/memstore_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/kvstore"
 )
 
 // TestLeaseExpiry guards against keys that outlive their lease, keys that vanish although it is renewed or although
@@ -36,7 +36,7 @@
 	_, err = s.Get(ctx, "a")
 	check(t, err, nil)
 
-	deleted := make(chan []platform.Event)
+	deleted := make(chan []kvstore.Event)
 	go func() {
 		events, _, err := s.Watch(ctx, "", since, time.Hour)
 		if err != nil {
@@ -51,13 +51,13 @@
 	if len(events) != 2 || events[0].Key != "a" || events[1].Key != "b" || !events[0].Deleted || !events[1].Deleted {
 		t.Fatalf("events %+v, want the deletions of a and b", events)
 	}
-	check(t, s.KeepAlive(ctx, lease), platform.ErrLeaseNotFound)
+	check(t, s.KeepAlive(ctx, lease), kvstore.ErrLeaseNotFound)
 	_, err = s.Get(ctx, "a")
-	check(t, err, platform.ErrNotFound)
+	check(t, err, kvstore.ErrNotFound)
 	_, err = s.Get(ctx, "kept")
 	check(t, err, nil)
 	_, err = s.Put(ctx, "a", nil, 0, lease)
-	check(t, err, platform.ErrLeaseNotFound)
+	check(t, err, kvstore.ErrLeaseNotFound)
 }
 
 // TestOutage guards against a waiting watch that sits through an outage, and against faults with the wrong effect: a
@@ -73,17 +73,17 @@
 		}()
 		synctest.Wait()
 		s.SetFaults(Faults{Down: true, Slow: time.Second})
-		check(t, <-watched, platform.ErrUnavailable)
+		check(t, <-watched, kvstore.ErrUnavailable)
 		_, err := s.Put(t.Context(), "a", nil, 0, 0)
-		check(t, err, platform.ErrUnavailable)
+		check(t, err, kvstore.ErrUnavailable)
 		if took := time.Since(begin); took != time.Second {
 			t.Errorf("the watch and the slow call took %s", took)
 		}
 		s.SetFaults(Faults{LoseAnswers: 1})
 		_, err = s.Put(t.Context(), "a", nil, 0, 0)
-		check(t, err, platform.ErrUnknownOutcome)
+		check(t, err, kvstore.ErrUnknownOutcome)
 		_, err = s.Put(t.Context(), "a", nil, 1, 0)
-		check(t, err, platform.ErrUnknownOutcome)
+		check(t, err, kvstore.ErrUnknownOutcome)
 		e, err := s.Get(t.Context(), "a")
 		if check(t, err, nil); e.Revision != 2 {
 			t.Errorf("revision %d, want 2", e.Revision)
@@ -96,8 +96,8 @@
 func TestRangeAndHistory(t *testing.T) {
 	ctx := context.Background()
 	s := New(time.Now)
-	var revisions [25]platform.Revision
-	last, err := platform.Revision(0), error(nil)
+	var revisions [25]kvstore.Revision
+	last, err := kvstore.Revision(0), error(nil)
 	for i := range HistoryEvents + 10 {
 		last, err = s.Put(ctx, fmt.Sprintf("k/%02d", i%25), []byte{1}, revisions[i%25], 0)
 		check(t, err, nil)
@@ -122,9 +122,9 @@
 		t.Fatalf("pages %v", pages)
 	}
 	_, _, err = s.Watch(ctx, "k/", 1, 0)
-	check(t, err, platform.ErrCompacted)
+	check(t, err, kvstore.ErrCompacted)
 	_, _, err = s.Watch(ctx, "k/", last+100, 0)
-	check(t, err, platform.ErrCompacted)
+	check(t, err, kvstore.ErrCompacted)
 	events, revision, err := s.Watch(ctx, "k/", last-1500, 0)
 	if check(t, err, nil); len(events) != WatchEvents || revision != last-500 {
 		t.Fatalf("%d events up to %d, want %d up to %d", len(events), revision, WatchEvents, last-500)
--- a/internal/platform/memstore/watch.go
+++ b/internal/kvstore/memstore/watch.go
@@ -8,11 +8,11 @@
 	"strings"
 	"time"
 
-	"masticcart.example/masticcart/internal/platform"
+	"masticcart.example/masticcart/internal/kvstore"
 )
 
 // Bounds of the event history and of the answer to one watch. The bounds in bytes matter for values near
-// platform.MaxValueBytes.
+// kvstore.MaxValueBytes.
 const (
 	HistoryEvents = 10_000
 	HistoryBytes  = 64 << 20
@@ -25,17 +25,17 @@
 
 // history keeps the latest events, in revision order.
 type history struct {
-	events    []platform.Event
+	events    []kvstore.Event
 	bytes     int
-	compacted platform.Revision // events up to this revision are gone
+	compacted kvstore.Revision // events up to this revision are gone
 }
 
-func (h *history) add(e platform.Event) {
+func (h *history) add(e kvstore.Event) {
 	h.events = append(h.events, e)
 	h.bytes += len(e.Value)
 	for len(h.events) > HistoryEvents || h.bytes > HistoryBytes {
 		oldest := h.events[0]
-		h.events[0] = platform.Event{} // lets the value be collected while the array is still in use
+		h.events[0] = kvstore.Event{} // lets the value be collected while the array is still in use
 		h.events = h.events[1:]
 		h.bytes -= len(oldest.Value)
 		h.compacted = oldest.Revision
@@ -43,7 +43,7 @@
 }
 
 // since returns events under the prefix after a revision, and whether it left some out for the bounds.
-func (h *history) since(prefix string, revision platform.Revision) (events []platform.Event, truncated bool) {
+func (h *history) since(prefix string, revision kvstore.Revision) (events []kvstore.Event, truncated bool) {
 	first := sort.Search(len(h.events), func(i int) bool { return h.events[i].Revision > revision })
 	size := 0
 	for _, e := range h.events[first:] {
@@ -61,8 +61,8 @@
 
 // Watch waits for changes under the prefix after revision since. A revision that the store has not reached yet is
 // reported as compacted, since the caller's view comes from other data.
-func (s *Store) Watch(ctx context.Context, prefix string, since platform.Revision, wait time.Duration) (
-	[]platform.Event, platform.Revision, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, since kvstore.Revision, wait time.Duration) (
+	[]kvstore.Event, kvstore.Revision, error) {
 	if err := s.enter(ctx, CallWatch); err != nil {
 		return nil, 0, err
 	}
@@ -70,7 +70,7 @@
 	deadline := s.now().Add(wait)
 	for {
 		if since < s.history.compacted || since > s.revision {
-			return nil, 0, fmt.Errorf("watch %q since %d: %w", prefix, since, platform.ErrCompacted)
+			return nil, 0, fmt.Errorf("watch %q since %d: %w", prefix, since, kvstore.ErrCompacted)
 		}
 		events, truncated := s.history.since(prefix, since)
 		if truncated {
--- a/internal/platform/store.go
+++ b/internal/kvstore/store.go
@@ -1,6 +1,6 @@
-// Package platform is the narrow interface to the platform's key-value service and its HTTP adapter.
+// Package kvstore is the narrow interface to the platform's key-value service and its HTTP adapter.
 // No other package knows the service's wire format.
-package platform
+package kvstore
 
 import (
 	"context"
@@ -11,19 +11,19 @@
 // Errors of every Store implementation. Adapters wrap them; callers test with errors.Is.
 var (
 	// ErrNotFound means that the key does not exist.
-	ErrNotFound = errors.New("platform: key not found")
+	ErrNotFound = errors.New("kvstore: key not found")
 	// ErrConflict means that the compare-and-swap lost: the write took no effect.
-	ErrConflict = errors.New("platform: revision conflict")
+	ErrConflict = errors.New("kvstore: revision conflict")
 	// ErrUnavailable means that the call certainly took no effect, for example because no connection could be made.
-	ErrUnavailable = errors.New("platform: service unavailable")
+	ErrUnavailable = errors.New("kvstore: service unavailable")
 	// ErrUnknownOutcome means that a write may or may not have taken effect.
-	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
+	ErrUnknownOutcome = errors.New("kvstore: outcome of the write is unknown")
 	// ErrTooLarge means that the value exceeds MaxValueBytes.
-	ErrTooLarge = errors.New("platform: value too large")
+	ErrTooLarge = errors.New("kvstore: value too large")
 	// ErrLeaseNotFound means that the lease has expired or was revoked.
-	ErrLeaseNotFound = errors.New("platform: lease not found")
+	ErrLeaseNotFound = errors.New("kvstore: lease not found")
 	// ErrCompacted means that the events since the given revision are no longer kept; range again.
-	ErrCompacted = errors.New("platform: watch revision compacted")
+	ErrCompacted = errors.New("kvstore: watch revision compacted")
 )
 
 // MaxValueBytes is the largest value that the service stores.
--- a/internal/standin/kv/admin.go
+++ b/internal/standin/kv/admin.go
@@ -7,7 +7,7 @@
 	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
-	"masticcart.example/masticcart/internal/platform/memstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/internal/standin/process"
 )
 
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -13,8 +13,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/gorilla/mux"
 
-	"masticcart.example/masticcart/internal/platform"
-	"masticcart.example/masticcart/internal/platform/memstore"
+	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/internal/standin/process"
 )
 
@@ -33,18 +33,18 @@
 // New returns a server over the store.
 func New(store *memstore.Store) *Server {
 	s := &Server{store: store, router: mux.NewRouter()}
-	handle(s, platform.PathGet, func(ctx context.Context, r platform.GetRequest) (platform.Entry, error) {
+	handle(s, kvstore.PathGet, func(ctx context.Context, r kvstore.GetRequest) (kvstore.Entry, error) {
 		return store.Get(ctx, r.Key)
 	})
-	handle(s, platform.PathRange, s.rangeKeys)
-	handle(s, platform.PathWatch, s.watch)
-	handleWrite(s, platform.PathPut, s.put)
-	handleWrite(s, platform.PathDelete, s.delete)
-	handleWrite(s, platform.PathGrant, s.grant)
-	handleWrite(s, platform.PathKeepAlive, func(ctx context.Context, r platform.LeaseRequest) (none, error) {
+	handle(s, kvstore.PathRange, s.rangeKeys)
+	handle(s, kvstore.PathWatch, s.watch)
+	handleWrite(s, kvstore.PathPut, s.put)
+	handleWrite(s, kvstore.PathDelete, s.delete)
+	handleWrite(s, kvstore.PathGrant, s.grant)
+	handleWrite(s, kvstore.PathKeepAlive, func(ctx context.Context, r kvstore.LeaseRequest) (none, error) {
 		return none{}, store.KeepAlive(ctx, r.Lease)
 	})
-	handleWrite(s, platform.PathRevoke, func(ctx context.Context, r platform.LeaseRequest) (none, error) {
+	handleWrite(s, kvstore.PathRevoke, func(ctx context.Context, r kvstore.LeaseRequest) (none, error) {
 		return none{}, store.Revoke(ctx, r.Lease)
 	})
 	s.router.HandleFunc("/admin/faults", s.faults).Methods(http.MethodPost)
@@ -52,37 +52,37 @@
 	return s
 }
 
-type none = platform.EmptyResponse
+type none = kvstore.EmptyResponse
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
-func (s *Server) rangeKeys(ctx context.Context, r platform.RangeRequest) (platform.RangeResponse, error) {
+func (s *Server) rangeKeys(ctx context.Context, r kvstore.RangeRequest) (kvstore.RangeResponse, error) {
 	entries, revision, err := s.store.Range(ctx, r.Prefix, r.After, r.Limit)
-	return platform.RangeResponse{Entries: entries, Revision: revision}, err
+	return kvstore.RangeResponse{Entries: entries, Revision: revision}, err
 }
 
-func (s *Server) watch(ctx context.Context, r platform.WatchRequest) (platform.WatchResponse, error) {
-	wait := time.Duration(min(max(r.WaitMS, 0), platform.MaxWatchWaitMS)) * time.Millisecond
+func (s *Server) watch(ctx context.Context, r kvstore.WatchRequest) (kvstore.WatchResponse, error) {
+	wait := time.Duration(min(max(r.WaitMS, 0), kvstore.MaxWatchWaitMS)) * time.Millisecond
 	events, revision, err := s.store.Watch(ctx, r.Prefix, r.Since, wait)
-	return platform.WatchResponse{Events: events, Revision: revision}, err
+	return kvstore.WatchResponse{Events: events, Revision: revision}, err
 }
 
-func (s *Server) put(ctx context.Context, r platform.PutRequest) (platform.PutResponse, error) {
+func (s *Server) put(ctx context.Context, r kvstore.PutRequest) (kvstore.PutResponse, error) {
 	revision, err := s.store.Put(ctx, r.Key, r.Value, r.Expect, r.Lease)
-	return platform.PutResponse{Revision: revision}, err
+	return kvstore.PutResponse{Revision: revision}, err
 }
 
-func (s *Server) delete(ctx context.Context, r platform.DeleteRequest) (none, error) {
+func (s *Server) delete(ctx context.Context, r kvstore.DeleteRequest) (none, error) {
 	return none{}, s.store.Delete(ctx, r.Key, r.Expect)
 }
 
-func (s *Server) grant(ctx context.Context, r platform.GrantRequest) (platform.GrantResponse, error) {
+func (s *Server) grant(ctx context.Context, r kvstore.GrantRequest) (kvstore.GrantResponse, error) {
 	if r.TTLMS < 0 || r.TTLMS > maxMilliseconds {
-		return platform.GrantResponse{}, merry.Wrap(errBadRequest, merry.AppendMessagef("ttl_ms %d", r.TTLMS))
+		return kvstore.GrantResponse{}, merry.Wrap(errBadRequest, merry.AppendMessagef("ttl_ms %d", r.TTLMS))
 	}
 	id, err := s.store.Grant(ctx, time.Duration(r.TTLMS)*time.Millisecond)
-	return platform.GrantResponse{Lease: id}, err
+	return kvstore.GrantResponse{Lease: id}, err
 }
 
 // handleWrite registers a call that changes the store. A slow write takes effect even if its caller gave up, as it
@@ -112,10 +112,10 @@
 
 // decode reads the body to its end, without which net/http does not notice that the caller went away.
 func decode(w http.ResponseWriter, r *http.Request, request any) error {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxRequestBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, kvstore.MaxRequestBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return platform.ErrTooLarge
+		return kvstore.ErrTooLarge
 	}
 	if err == nil {
 		err = json.Unmarshal(body, request)
@@ -130,18 +130,18 @@
 func fail(w http.ResponseWriter, err error) {
 	status := merry.HTTPCode(err)
 	switch {
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrUnknownOutcome):
 		panic(http.ErrAbortHandler) // net/http closes the connection and logs nothing
-	case errors.Is(err, platform.ErrNotFound):
-		status = platform.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
-		status = platform.StatusConflict
-	case errors.Is(err, platform.ErrCompacted):
-		status = platform.StatusCompacted
-	case errors.Is(err, platform.ErrLeaseNotFound):
-		status = platform.StatusLeaseNotFound
-	case errors.Is(err, platform.ErrTooLarge):
-		status = platform.StatusTooLarge
+	case errors.Is(err, kvstore.ErrNotFound):
+		status = kvstore.StatusNotFound
+	case errors.Is(err, kvstore.ErrConflict):
+		status = kvstore.StatusConflict
+	case errors.Is(err, kvstore.ErrCompacted):
+		status = kvstore.StatusCompacted
+	case errors.Is(err, kvstore.ErrLeaseNotFound):
+		status = kvstore.StatusLeaseNotFound
+	case errors.Is(err, kvstore.ErrTooLarge):
+		status = kvstore.StatusTooLarge
 	}
-	process.WriteJSON(w, status, platform.ErrorResponse{Reason: err.Error()})
+	process.WriteJSON(w, status, kvstore.ErrorResponse{Reason: err.Error()})
 }
--- a/internal/standin/kv/kv_test.go
+++ b/internal/standin/kv/kv_test.go
@@ -18,8 +18,8 @@
 	"testing"
 	"time"
 
-	"masticcart.example/masticcart/internal/platform"
-	"masticcart.example/masticcart/internal/platform/memstore"
+	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/internal/standin/kv"
 )
 
@@ -85,11 +85,11 @@
 // break.
 func TestWatch(t *testing.T) {
 	service := startService(t)
-	store := platform.NewHTTP([]string{service.address}, 5*time.Second, nil)
+	store := kvstore.NewHTTP([]string{service.address}, 5*time.Second, nil)
 	defer store.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	seen := make(chan []platform.Event)
+	seen := make(chan []kvstore.Event)
 	go func() { seen <- watchUntil(ctx, t, store, "w/end") }()
 	var group sync.WaitGroup
 	var attempts atomic.Int64
@@ -115,7 +115,7 @@
 	if err != nil || len(entries) != 201 {
 		t.Fatalf("%d entries, error %v", len(entries), err)
 	}
-	slices.SortFunc(entries, func(a, b platform.Entry) int { return int(a.Revision - b.Revision) })
+	slices.SortFunc(entries, func(a, b kvstore.Entry) int { return int(a.Revision - b.Revision) })
 	for i := range max(len(entries), len(events)) {
 		if i >= len(events) || i >= len(entries) || events[i].Deleted || events[i].Key != entries[i].Key {
 			t.Fatalf("event %d of %d does not match entry %d of %d", i, len(events), i, len(entries))
@@ -124,11 +124,11 @@
 }
 
 // watchUntil returns the events up to that of the last key.
-func watchUntil(ctx context.Context, t *testing.T, store platform.Store, last string) (seen []platform.Event) {
-	var since platform.Revision
+func watchUntil(ctx context.Context, t *testing.T, store kvstore.Store, last string) (seen []kvstore.Event) {
+	var since kvstore.Revision
 	for len(seen) == 0 || seen[len(seen)-1].Key != last {
 		events, next, err := store.Watch(ctx, "w/", since, 10*time.Second)
-		if ctx.Err() != nil || (err != nil && !errors.Is(err, platform.ErrUnavailable)) {
+		if ctx.Err() != nil || (err != nil && !errors.Is(err, kvstore.ErrUnavailable)) {
 			t.Error("watch:", err)
 			return seen
 		}
@@ -140,12 +140,12 @@
 }
 
 // putUntilDone creates a key; a conflict means that an attempt with an unknown outcome took effect.
-func putUntilDone(ctx context.Context, t *testing.T, store platform.Store, key string, try func()) {
-	err := platform.ErrUnknownOutcome
-	for unknown := false; errors.Is(err, platform.ErrUnknownOutcome); unknown = true {
+func putUntilDone(ctx context.Context, t *testing.T, store kvstore.Store, key string, try func()) {
+	err := kvstore.ErrUnknownOutcome
+	for unknown := false; errors.Is(err, kvstore.ErrUnknownOutcome); unknown = true {
 		try()
 		_, err = store.Put(ctx, key, []byte("v"), 0, 0)
-		if (unknown && errors.Is(err, platform.ErrConflict)) || ctx.Err() != nil {
+		if (unknown && errors.Is(err, kvstore.ErrConflict)) || ctx.Err() != nil {
 			return
 		}
 	}
@@ -159,7 +159,7 @@
 func TestErrors(t *testing.T) {
 	ctx := context.Background()
 	service := startService(t)
-	store := platform.NewHTTP([]string{service.address}, time.Second, nil)
+	store := kvstore.NewHTTP([]string{service.address}, time.Second, nil)
 	defer store.Close()
 	check := func(what string, err, want error) {
 		t.Helper()
@@ -169,41 +169,41 @@
 	}
 	lease, err := store.Grant(ctx, time.Hour)
 	check("grant", err, nil)
-	large := make([]byte, platform.MaxValueBytes+1)
+	large := make([]byte, kvstore.MaxValueBytes+1)
 	_, err = store.Put(ctx, "large", large[1:], 0, lease)
 	check("put of the largest value", err, nil)
 	e, err := store.Get(ctx, "large")
 	check("get of the largest value", err, nil)
-	if len(e.Value) != platform.MaxValueBytes {
+	if len(e.Value) != kvstore.MaxValueBytes {
 		t.Errorf("value of %d bytes", len(e.Value))
 	}
 	_, err = store.Put(ctx, "large", large, e.Revision, 0)
-	check("too large", err, platform.ErrTooLarge)
+	check("too large", err, kvstore.ErrTooLarge)
 	_, err = store.Put(ctx, "large", nil, 0, 0)
-	check("wrong revision", err, platform.ErrConflict)
-	check("delete without key", store.Delete(ctx, "none", 1), platform.ErrNotFound)
+	check("wrong revision", err, kvstore.ErrConflict)
+	check("delete without key", store.Delete(ctx, "none", 1), kvstore.ErrNotFound)
 	check("revoke", store.Revoke(ctx, lease), nil)
-	check("revoked lease", store.KeepAlive(ctx, lease), platform.ErrLeaseNotFound)
+	check("revoked lease", store.KeepAlive(ctx, lease), kvstore.ErrLeaseNotFound)
 	_, err = store.Get(ctx, "large")
-	check("key of the revoked lease", err, platform.ErrNotFound)
+	check("key of the revoked lease", err, kvstore.ErrNotFound)
 	_, _, err = store.Watch(ctx, "", 1000, 0)
-	check("future revision", err, platform.ErrCompacted)
+	check("future revision", err, kvstore.ErrCompacted)
 
 	before := service.store.Stats().Writes
 	service.admin(`{"down":true}`)
 	_, err = store.Put(ctx, "a", nil, 0, 0) // on the connection that the calls above have used
-	check("write in an outage", err, platform.ErrUnknownOutcome)
+	check("write in an outage", err, kvstore.ErrUnknownOutcome)
 	if sent := service.store.Stats().Writes - before; sent != 1 {
 		t.Errorf("one write was sent %d times", sent)
 	}
 	_, err = store.Get(ctx, "a")
-	check("read in an outage", err, platform.ErrUnavailable)
+	check("read in an outage", err, kvstore.ErrUnavailable)
 	service.admin(`{"reset":true,"lose_answers":1}`)
-	check("lost answer", store.Delete(ctx, "none", 1), platform.ErrUnknownOutcome)
+	check("lost answer", store.Delete(ctx, "none", 1), kvstore.ErrUnknownOutcome)
 	service.close()
 	_, err = store.Put(ctx, "a", nil, 0, 0)
-	check("write without a connection", err, platform.ErrUnavailable)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	check("write without a connection", err, kvstore.ErrUnavailable)
+	if errors.Is(err, kvstore.ErrUnknownOutcome) {
 		t.Error("write without a connection has an unknown outcome")
 	}
 }
@@ -215,8 +215,8 @@
 	server.StartTLS()
 	defer server.Close()
 	trusted := &tls.Config{RootCAs: x509.NewCertPool()}
-	for _, want := range []error{platform.ErrUnavailable, nil} {
-		store := platform.NewHTTP([]string{server.Listener.Addr().String()}, 5*time.Second, trusted.Clone())
+	for _, want := range []error{kvstore.ErrUnavailable, nil} {
+		store := kvstore.NewHTTP([]string{server.Listener.Addr().String()}, 5*time.Second, trusted.Clone())
 		if _, err := store.Put(context.Background(), "a", nil, 0, 0); !errors.Is(err, want) {
 			t.Errorf("error %v, want %v", err, want)
 		}
--- a/internal/standin/kv/linearizability_test.go
+++ b/internal/standin/kv/linearizability_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"masticcart.example/masticcart/internal/platform"
-	"masticcart.example/masticcart/internal/platform/memstore"
+	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
 )
 
 const (
@@ -24,25 +24,25 @@
 	testKey      = "k"
 )
 
-var outcomes = []error{nil, platform.ErrConflict, platform.ErrUnavailable, platform.ErrUnknownOutcome}
+var outcomes = []error{nil, kvstore.ErrConflict, kvstore.ErrUnavailable, kvstore.ErrUnknownOutcome}
 
 // op is one call on testKey: a get, a put of a value that is written only once, or a delete.
 type op struct {
 	kind   memstore.Call
-	expect platform.Revision
+	expect kvstore.Revision
 	value  string
 }
 
 // result is the outcome of an op. The revision is that of the entry read or written.
 type result struct {
 	err      error
-	revision platform.Revision
+	revision kvstore.Revision
 	value    string
 }
 
 // register is the state of the only key: global counts all writes, revision is zero while the key does not exist.
 type register struct {
-	global, revision platform.Revision
+	global, revision kvstore.Revision
 	value            string
 }
 
@@ -56,7 +56,7 @@
 			return matches(out, s), s
 		}
 		next, err := s.write(in)
-		if errors.Is(out.err, platform.ErrUnknownOutcome) {
+		if errors.Is(out.err, kvstore.ErrUnknownOutcome) {
 			return true, next
 		}
 		if err != nil || out.err != nil {
@@ -69,9 +69,9 @@
 func (s register) write(in op) (register, error) {
 	switch {
 	case in.kind == memstore.CallDelete && s.revision == 0:
-		return s, platform.ErrNotFound
+		return s, kvstore.ErrNotFound
 	case in.expect != s.revision:
-		return s, platform.ErrConflict
+		return s, kvstore.ErrConflict
 	case in.kind == memstore.CallDelete:
 		return register{global: s.global + 1}, nil
 	}
@@ -80,7 +80,7 @@
 
 func matches(out result, s register) bool {
 	if s.revision == 0 {
-		return errors.Is(out.err, platform.ErrNotFound)
+		return errors.Is(out.err, kvstore.ErrNotFound)
 	}
 	return out.err == nil && out.revision == s.revision && out.value == s.value
 }
@@ -104,10 +104,10 @@
 			h.count[err]++
 		}
 	}
-	if errors.Is(out.err, platform.ErrUnavailable) {
+	if errors.Is(out.err, kvstore.ErrUnavailable) {
 		return
 	}
-	if errors.Is(out.err, platform.ErrUnknownOutcome) {
+	if errors.Is(out.err, kvstore.ErrUnknownOutcome) {
 		end = math.MaxInt64
 	}
 	h.ops = append(h.ops, porcupine.Operation{
@@ -122,7 +122,7 @@
 func (h *history) bounded() []porcupine.Operation {
 	var ops []porcupine.Operation
 	for _, o := range h.ops {
-		if out := o.Output.(result); errors.Is(out.err, platform.ErrUnknownOutcome) {
+		if out := o.Output.(result); errors.Is(out.err, kvstore.ErrUnknownOutcome) {
 			in := o.Input.(op)
 			for _, p := range h.ops {
 				if seen := p.Output.(result); seen.err == nil && in.decidedBy(p.Input.(op), seen) {
@@ -151,7 +151,7 @@
 // than the timeout, the service drops connections and its port is closed.
 func TestLinearizable(t *testing.T) {
 	service := startService(t)
-	store := platform.NewHTTP([]string{service.address}, 40*time.Millisecond, nil)
+	store := kvstore.NewHTTP([]string{service.address}, 40*time.Millisecond, nil)
 	defer store.Close()
 	h := &history{start: time.Now(), count: map[error]int{}}
 	var group sync.WaitGroup
@@ -164,7 +164,7 @@
 		t.Errorf("the service saw %d calls, the clients made %d", seen, calls)
 	}
 	service.phase(0)
-	for last := (result{err: platform.ErrUnavailable}); errors.Is(last.err, platform.ErrUnavailable); {
+	for last := (result{err: kvstore.ErrUnavailable}); errors.Is(last.err, kvstore.ErrUnavailable); {
 		last = call(clients, store, op{kind: memstore.CallGet}, h)
 	}
 	for _, err := range outcomes {
@@ -179,9 +179,9 @@
 }
 
 // runClient makes random calls; the count of calls of all clients moves the service from one phase to the next.
-func runClient(client int, store platform.Store, service *service, h *history) {
+func runClient(client int, store kvstore.Store, service *service, h *history) {
 	random := rand.New(rand.NewPCG(1, uint64(client)))
-	var known platform.Revision
+	var known kvstore.Revision
 	for i := range opsPerClient {
 		if n := h.done.Add(1); n%opsPerPhase == 0 {
 			service.phase(int(n / opsPerPhase))
@@ -194,25 +194,25 @@
 			in = op{kind: memstore.CallDelete, expect: known}
 		}
 		out := call(client, store, in, h)
-		if out.err == nil || errors.Is(out.err, platform.ErrNotFound) {
+		if out.err == nil || errors.Is(out.err, kvstore.ErrNotFound) {
 			known = out.revision
 		}
 	}
 }
 
 // call carries out an operation and records it.
-func call(client int, store platform.Store, in op, h *history) result {
+func call(client int, store kvstore.Store, in op, h *history) result {
 	begin := time.Since(h.start)
 	out := carryOut(store, in)
 	h.record(client, in, out, begin, time.Since(h.start))
 	return out
 }
 
-func carryOut(store platform.Store, in op) (out result) {
+func carryOut(store kvstore.Store, in op) (out result) {
 	ctx := context.Background()
 	switch in.kind {
 	case memstore.CallGet:
-		var e platform.Entry
+		var e kvstore.Entry
 		e, out.err = store.Get(ctx, testKey)
 		out.revision, out.value = e.Revision, string(e.Value)
 	case memstore.CallDelete:
