--- a/cmd/masticcartd/main.go
+++ b/cmd/masticcartd/main.go
@@ -17,7 +17,10 @@
 
 	"masticcart.example/masticcart/internal/agent"
 	"masticcart.example/masticcart/internal/entry"
+	"masticcart.example/masticcart/internal/hosted"
+	"masticcart.example/masticcart/internal/logging"
 	"masticcart.example/masticcart/internal/settings"
+	"masticcart.example/masticcart/platform"
 )
 
 // Exit codes.
@@ -44,6 +47,8 @@
 			"Exit codes: 0 stopped as planned, 1 failure, 2 usage, 78 wrong settings.",
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "run until SIGTERM or SIGINT, then stop gracefully", ArgsUsage: "FILE", Action: runDaemon},
+			{Name: "platform", Usage: "run on the users' platform, with the settings file that the environment names",
+				Action: runHosted},
 			{Name: "check", Usage: "check a settings file and print what it says", ArgsUsage: "FILE", Action: check},
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
@@ -105,6 +110,21 @@
 	return serve(app, stopTimeout)
 }
 
+// runHosted runs an entry or an agent on the users' platform.
+func runHosted(context.Context, *cli.Command) error {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	lines := logging.UseJSON(s.Node)
+	defer lines.Flush()
+	app := hosted.New(s)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	return serve(app, hosted.StopTimeout)
+}
+
 // serve runs the application until a signal asks it to stop.
 func serve(app *fx.App, stopTimeout time.Duration) error {
 	startCtx, cancel := context.WithTimeout(context.Background(), startTimeout)
--- /dev/null
+++ b/internal/batch/job.go
@@ -0,0 +1,222 @@
+// Package batch describes jobs of dependent steps on workers: what callers hand in, the queues that accept it, and the
+// names of the tasks that it breaks into.
+package batch
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Resources is what a task needs or a worker has.
+type Resources struct {
+	MilliCPU     int `json:"cpu,omitempty"` // thousandths of a core
+	MemoryMB     int `json:"mem,omitempty"`
+	Accelerators int `json:"acc,omitempty"`
+}
+
+// Fits reports whether the resources are available in free.
+func (r Resources) Fits(free Resources) bool {
+	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference. Fields may become negative.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Times returns the resources of n tasks.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
+// Copies returns how many tasks that need r fit into free.
+func (r Resources) Copies(free Resources) int {
+	n := maxCopies
+	for _, x := range [...][2]int{
+		{r.MilliCPU, free.MilliCPU}, {r.MemoryMB, free.MemoryMB}, {r.Accelerators, free.Accelerators},
+	} {
+		if x[0] > 0 {
+			n = min(n, x[1]/x[0])
+		}
+	}
+	return max(n, 0)
+}
+
+// maxCopies bounds the tasks that need nothing on one worker.
+const maxCopies = 1024
+
+// acceleratorCores is the worth of an accelerator in cores, as the users price it.
+const acceleratorCores = 8
+
+// Cores returns the resources as cores, accelerators included.
+func (r Resources) Cores() float64 {
+	return float64(r.MilliCPU)/1000 + acceleratorCores*float64(r.Accelerators)
+}
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count    int           `json:"n"`
+	Need     Resources     `json:"need"`
+	Estimate time.Duration `json:"est,omitempty"` // rough duration of one task
+	After    []int         `json:"after,omitempty"`
+	// Checkpoints means that a stopped task can be resumed from what it saved.
+	Checkpoints bool `json:"ckpt,omitempty"`
+	// Gang means that the tasks start together and end together.
+	Gang bool `json:"gang,omitempty"`
+	// OneRack means that the tasks are slower when they run in more than one rack.
+	OneRack bool `json:"one_rack,omitempty"`
+	// RequiredLabel is a label that the worker must have.
+	RequiredLabel string `json:"label,omitempty"`
+	// DataRack is the rack outside which the tasks are slower.
+	DataRack string `json:"data,omitempty"`
+	// MaxPerWorker bounds the tasks of one occurrence of the step on one worker. Zero means no bound.
+	MaxPerWorker int `json:"max_per,omitempty"`
+	// Duplicable means that two runs of a task at the same time do no harm.
+	Duplicable bool `json:"dup,omitempty"`
+	// Lasting tasks run until the job is cancelled, and are started again however they end.
+	Lasting bool `json:"lasting,omitempty"`
+	// MayMiss bounds the lasting tasks that the system itself may take away at the same time.
+	MayMiss int `json:"may_miss,omitempty"`
+	// Filling means that the processor time of the tasks is not reserved on the worker.
+	Filling bool `json:"fill,omitempty"`
+}
+
+// Reserved returns what a task takes from the capacity of its worker.
+func (s *Step) Reserved() Resources {
+	r := s.Need
+	if s.Filling {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// Job is one accepted job.
+type Job struct {
+	ID      string `json:"id"`
+	Queue   Queue  `json:"queue"` // as it was when the job was accepted
+	Team    string `json:"team,omitempty"`
+	Payload string `json:"payload,omitempty"`
+	Steps   []Step `json:"steps"`
+	// Repeat is the number of occurrences of a recurring job, zero for any other.
+	Repeat int           `json:"repeat,omitempty"`
+	First  time.Time     `json:"first,omitzero"`
+	Every  time.Duration `json:"every,omitempty"`
+	// AcceptedAt is the time of day at the entry that accepted the job.
+	AcceptedAt time.Time `json:"at"`
+}
+
+// Occurrences returns how often the steps run.
+func (j *Job) Occurrences() int { return max(j.Repeat, 1) }
+
+// Due returns when an occurrence may start. The zero time means at once.
+func (j *Job) Due(occurrence int) time.Time {
+	if j.Repeat == 0 {
+		return time.Time{}
+	}
+	return j.First.Add(time.Duration(occurrence) * j.Every)
+}
+
+// Limits of a job.
+const (
+	MaxSteps       = 64
+	MaxStepTasks   = 4096
+	MaxOccurrences = 10_000
+	MaxPayload     = 4000 // bytes
+)
+
+// Validate returns an error that names the field at fault.
+func (j *Job) Validate() error {
+	switch {
+	case len(j.Payload) > MaxPayload:
+		return fmt.Errorf("payload: %d bytes, at most %d", len(j.Payload), MaxPayload)
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return fmt.Errorf("steps: %d, from 1 to %d", len(j.Steps), MaxSteps)
+	case j.Repeat < 0 || j.Repeat > MaxOccurrences:
+		return fmt.Errorf("occurrences: %d, at most %d", j.Repeat, MaxOccurrences)
+	case j.Every < 0:
+		return fmt.Errorf("interval: %v", j.Every)
+	}
+	for i := range j.Steps {
+		if err := j.Steps[i].validate(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (s *Step) validate(index int) error {
+	if s.Count < 1 || s.Count > MaxStepTasks {
+		return fmt.Errorf("count: %d, from 1 to %d", s.Count, MaxStepTasks)
+	}
+	if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 {
+		return fmt.Errorf("negative need, estimate or bound per worker")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return fmt.Errorf("after: %d is not an earlier step", a)
+		}
+	}
+	return nil
+}
+
+// State is the state of a job as callers see it.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether the state does not change any more.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// TaskID names a task of a job.
+type TaskID struct {
+	Job                     string
+	Occurrence, Step, Index int
+}
+
+// String returns the name of the task towards workers.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (t *TaskID) UnmarshalText(text []byte) error {
+	id, err := ParseTaskID(string(text))
+	if err == nil {
+		*t = id
+	}
+	return err
+}
+
+// ParseTaskID reverses TaskID.String.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task name %q: %d parts, want 4", s, len(parts))
+	}
+	id := TaskID{Job: parts[0]}
+	for i, field := range []*int{&id.Occurrence, &id.Step, &id.Index} {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("task name %q: part %d is not a number", s, i+1)
+		}
+		*field = n
+	}
+	return id, nil
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,252 @@
+// Package election chooses one leader among the entries through a key of the store that lives under a lease. The
+// revision of the key is the term: it rises with each leader, and a write that is conditional on it fences the
+// leaders before.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/boottime"
+	"masticcart.example/masticcart/internal/kvstore"
+)
+
+const (
+	// leaseTTL bounds how long a dead leader keeps others out. Shorter ones are lost to one slow answer.
+	leaseTTL = 1500 * time.Millisecond
+	// renewInterval leaves three tries within a TTL.
+	renewInterval = 400 * time.Millisecond
+	// renewTimeout bounds one renewal, so that a silent connection does not use up the TTL.
+	renewTimeout = 700 * time.Millisecond
+	// callTimeout bounds the other calls to the store.
+	callTimeout = 2 * time.Second
+	// watchWait is one long poll on the leader's key; it bounds how long a silent connection hides a change.
+	watchWait = 2 * time.Second
+	// retryPause follows a call that failed.
+	retryPause = 100 * time.Millisecond
+	// Grace is how long a leader goes on without a renewal: an outage of the store stops no running work. A new
+	// leader waits for it before it gives up on a worker that it cannot reach.
+	Grace = 8 * time.Second
+)
+
+// Leader is the content of the key.
+type Leader struct {
+	Node    string `json:"node"`
+	Address string `json:"address"` // of its RPC listener
+	// Term is the revision of the key.
+	Term int64 `json:"-"`
+}
+
+// Term is a period of leadership of this process.
+type Term struct {
+	Number int64
+	// Key and Revision are the condition that fences writes of the term.
+	Condition kvstore.Condition
+
+	mu      sync.Mutex
+	renewed time.Duration // boottime at which the last successful renewal was sent
+}
+
+// Held reports whether the leader may still grant leases to workers.
+func (t *Term) Held() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return boottime.Now()-t.renewed < Grace
+}
+
+func (t *Term) renew(sent time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.renewed = max(t.renewed, sent)
+}
+
+// Election takes part in the choice of the leader and follows its outcome.
+type Election struct {
+	store kvstore.Store
+	key   string
+	self  Leader
+	lead  func(ctx context.Context, term *Term) error
+
+	mu      sync.Mutex
+	current Leader
+	seen    time.Duration // boottime of the last answer of the store about the key
+}
+
+// New returns an election under the key. While this process leads, it runs lead; when lead returns, it gives the
+// leadership up.
+func New(store kvstore.Store, key string, self Leader, lead func(context.Context, *Term) error) *Election {
+	return &Election{store: store, key: key, self: self, lead: lead}
+}
+
+// Current returns the leader that was seen last. The zero value means none.
+func (e *Election) Current() Leader {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
+func (e *Election) see(l Leader) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = boottime.Now()
+	if l != e.current {
+		klog.InfoS("Leader changed", "leader", l.Node, "term", l.Term, "before", e.current.Node, "termBefore", e.current.Term)
+		e.current = l
+	}
+}
+
+// Run campaigns until ctx ends.
+func (e *Election) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		entry, err := e.read(ctx)
+		switch {
+		case errors.Is(err, kvstore.ErrNotFound):
+			e.see(Leader{})
+			if err := e.campaign(ctx); err != nil && ctx.Err() == nil {
+				klog.InfoS("Campaign failed", "err", err)
+				pause(ctx, retryPause)
+			}
+		case err != nil:
+			klog.V(1).InfoS("Leader not read", "err", err)
+			pause(ctx, retryPause)
+		default:
+			e.see(decode(entry))
+			e.follow(ctx, entry.Revision)
+		}
+	}
+}
+
+func (e *Election) read(ctx context.Context) (kvstore.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return e.store.Get(ctx, e.key)
+}
+
+// follow returns when the leader's key has changed or may have.
+func (e *Election) follow(ctx context.Context, since kvstore.Revision) {
+	for ctx.Err() == nil {
+		events, at, err := e.store.Watch(ctx, e.key, since, watchWait)
+		if err != nil || len(events) > 0 {
+			if err != nil {
+				klog.V(1).InfoS("Leader watch ended", "err", err)
+				pause(ctx, retryPause)
+			}
+			return
+		}
+		since = at
+	}
+}
+
+func decode(entry kvstore.Entry) Leader {
+	var l Leader
+	if err := json.Unmarshal(entry.Value, &l); err != nil {
+		klog.ErrorS(err, "Leader key not readable", "revision", entry.Revision)
+	}
+	l.Term = int64(entry.Revision)
+	return l
+}
+
+// campaign tries to create the key and leads if that succeeds.
+func (e *Election) campaign(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	granted := boottime.Now()
+	lease, err := e.store.Grant(callCtx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(e.self)
+	if err != nil {
+		return err
+	}
+	revision, err := e.store.Txn(callCtx, kvstore.Txn{
+		Expect: []kvstore.Condition{{Key: e.key}},
+		Puts:   []kvstore.Write{{Key: e.key, Value: value, Lease: lease}},
+	})
+	if errors.Is(err, kvstore.ErrUnknownOutcome) {
+		// The key lapses with the lease, which nobody renews.
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	term := &Term{Number: int64(revision), Condition: kvstore.Condition{Key: e.key, Revision: revision}, renewed: granted}
+	self := e.self
+	self.Term = term.Number
+	e.see(self)
+	e.serve(ctx, term, lease)
+	return nil
+}
+
+// serve runs the term until it is lost or ctx ends.
+func (e *Election) serve(ctx context.Context, term *Term, lease kvstore.LeaseID) {
+	klog.InfoS("Leadership won", "term", term.Number)
+	termCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer cancel()
+		if err := e.lead(termCtx, term); err != nil && termCtx.Err() == nil {
+			klog.ErrorS(err, "Leadership given up", "term", term.Number)
+		}
+	}()
+	e.keep(termCtx, term, lease)
+	cancel()
+	<-done
+	klog.InfoS("Leadership ended", "term", term.Number, "stopping", ctx.Err() != nil)
+	e.resign(lease)
+}
+
+// resign ends the lease, so that a successor need not wait for it to lapse.
+func (e *Election) resign(lease kvstore.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+	defer cancel()
+	if err := e.store.Revoke(ctx, lease); err != nil && !errors.Is(err, kvstore.ErrLeaseNotFound) {
+		klog.InfoS("Lease not ended", "err", err)
+	}
+}
+
+// keep renews the lease until the term ends. It ends when the lease has expired, or after Grace without an answer.
+func (e *Election) keep(ctx context.Context, term *Term, lease kvstore.LeaseID) {
+	failing := false
+	for ctx.Err() == nil {
+		pause(ctx, renewInterval)
+		sent := boottime.Now()
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		err := e.store.KeepAlive(callCtx, lease)
+		cancel()
+		switch {
+		case err == nil:
+			term.renew(sent)
+			if failing {
+				klog.InfoS("Store reached again", "term", term.Number)
+			}
+			failing = false
+		case errors.Is(err, kvstore.ErrLeaseNotFound):
+			klog.InfoS("Leadership lost", "term", term.Number, "reason", "lease expired")
+			return
+		case ctx.Err() == nil && !failing:
+			failing = true
+			klog.InfoS("Store not reached", "term", term.Number, "err", err)
+		}
+		if !term.Held() {
+			klog.InfoS("Leadership lost", "term", term.Number, "reason", "no renewal within the grace period")
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,410 @@
+// Package intake accepts jobs at an entry: it checks the caller, stores the job before it is acknowledged, and answers
+// for its state. Any entry accepts and answers, whoever schedules.
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/boottime"
+	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/scheduler"
+)
+
+// Answer is what a caller is told.
+type Answer string
+
+// The answers.
+const (
+	OK           Answer = "ok"
+	NoQueue      Answer = "no-queue"
+	Unauthorized Answer = "unauthorized"
+	Invalid      Answer = "invalid"
+	TooLarge     Answer = "too-large"
+	Gone         Answer = "gone"
+	// NotRun means that nothing was stored and nothing will be; the caller is told when to come back.
+	NotRun Answer = "not-run"
+	// Unclear means that the request may take effect; the caller has to ask again.
+	Unclear Answer = "unclear"
+)
+
+// Request is one call of a caller.
+type Request struct {
+	Host, Path, Key string
+	// Deadline is when the caller stops waiting. The zero time means that it did not say.
+	Deadline time.Time
+}
+
+// Response answers a Request.
+type Response struct {
+	Answer Answer
+	Reason string
+	// RetryAfter goes with NotRun.
+	RetryAfter time.Duration
+	State      batch.State
+	Pending    int
+}
+
+// Settings bound the intake.
+type Settings struct {
+	// StaleKeys is the age of the configuration from which on keys are not trusted any more. Zero: always trusted.
+	StaleKeys time.Duration
+	// Visible is how old the number of waiting jobs may be.
+	Visible time.Duration
+}
+
+const (
+	// callTimeout bounds one call to the store. It is above an answer of a store that is sixty times slower than usual.
+	callTimeout = 700 * time.Millisecond
+	// defaultDeadline is assumed of callers that state none.
+	defaultDeadline = 3 * time.Second
+	// answerMargin is left of the caller's time for the answer to travel.
+	answerMargin = 150 * time.Millisecond
+	// storeRetry is the pause between tries to store a job.
+	storeRetry = 60 * time.Millisecond
+	// refuseAfter is how long a job that is certainly not stored is tried again before the caller is told so.
+	refuseAfter = 300 * time.Millisecond
+	// downAfter is the time without an answer of the store from which on nothing is sent to it for a caller.
+	downAfter = 2500 * time.Millisecond
+	// comeBack is when a caller may try again that was told that its request has not run.
+	comeBack = time.Second
+)
+
+// Leader answers for the scheduler, wherever it runs.
+type Leader interface {
+	// Pending returns the number of jobs of each queue of which no task has started.
+	Pending(ctx context.Context) (map[string]int, error)
+}
+
+// Service accepts jobs.
+type Service struct {
+	store    kvstore.Store
+	follower *Follower
+	leader   Leader
+	settings Settings
+
+	mu        sync.Mutex
+	pending   map[string]int
+	pendingAt time.Duration
+}
+
+// New returns the intake of an entry.
+func New(store kvstore.Store, follower *Follower, leader Leader, settings Settings) *Service {
+	return &Service{store: store, follower: follower, leader: leader, settings: settings}
+}
+
+// Ready returns an error while the entry cannot serve callers.
+func (s *Service) Ready() error {
+	catalog, _, age := s.follower.Current()
+	if catalog.Version == 0 {
+		return errors.New("no configuration yet")
+	}
+	if age > downAfter {
+		return errors.New("the store does not answer")
+	}
+	return nil
+}
+
+// admission is a request whose queue and caller are known.
+type admission struct {
+	queue     *batch.Queue
+	team      string
+	rest      string // of the path
+	catalog   *batch.Catalog
+	condition kvstore.Condition
+	age       time.Duration
+}
+
+// admit finds the queue of a request and checks its key.
+func (s *Service) admit(r Request) (*admission, *Response) {
+	catalog, condition, age := s.follower.Current()
+	if catalog.Version == 0 {
+		return nil, &Response{Answer: NotRun, Reason: "no configuration yet", RetryAfter: comeBack}
+	}
+	queue, rest := catalog.Match(r.Host, r.Path)
+	if queue == nil {
+		return nil, &Response{Answer: NoQueue, Reason: "no queue has this host and prefix"}
+	}
+	a := &admission{queue: queue, rest: rest, catalog: catalog, condition: condition, age: age}
+	if queue.Public {
+		return a, nil
+	}
+	if s.settings.StaleKeys > 0 && age > s.settings.StaleKeys {
+		return nil, &Response{Answer: NotRun, Reason: "keys cannot be checked", RetryAfter: comeBack}
+	}
+	team := catalog.Holder(r.Key)
+	if team == nil {
+		return nil, &Response{Answer: Unauthorized, Reason: "unknown key"}
+	}
+	a.team = team.Name
+	return a, nil
+}
+
+// MaxBody returns the largest body that is accepted, in bytes.
+func (s *Service) MaxBody() int64 { return s.follower.Catalog().MaxBody }
+
+// jobID is the length of a job's id in hexadecimal digits.
+const jobID = 16
+
+func validID(id string) bool {
+	if len(id) != jobID {
+		return false
+	}
+	for _, c := range id {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// deadline returns when the answer has to leave.
+func (r Request) deadline() time.Time {
+	if r.Deadline.IsZero() {
+		return time.Now().Add(defaultDeadline - answerMargin)
+	}
+	return r.Deadline.Add(-answerMargin)
+}
+
+// Submit stores a job and acknowledges it. parse reads the job from the body of the request; it is called only for a
+// request that is admitted.
+func (s *Service) Submit(ctx context.Context, r Request, parse func() (*batch.Job, error)) Response {
+	started := time.Now()
+	a, refusal := s.admit(r)
+	if refusal != nil {
+		return s.log("Submission refused", r, a, started, *refusal)
+	}
+	if !validID(a.rest) {
+		return s.log("Submission refused", r, a, started, Response{Answer: Invalid, Reason: "the id has to be 16 hexadecimal digits"})
+	}
+	job, err := parse()
+	if err == nil {
+		job.ID, job.Queue, job.Team, job.AcceptedAt = a.rest, *a.queue, a.team, time.Now()
+		err = job.Validate()
+	}
+	if err != nil {
+		return s.log("Submission refused", r, a, started, Response{Answer: Invalid, Reason: err.Error()})
+	}
+	value, err := json.Marshal(job)
+	if err != nil {
+		return s.log("Submission refused", r, a, started, Response{Answer: Invalid, Reason: err.Error()})
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline())
+	defer cancel()
+	return s.log("Submission answered", r, a, started, s.put(ctx, r, a, value))
+}
+
+// put writes the job on the condition that it is new and that the configuration has not changed.
+func (s *Service) put(ctx context.Context, r Request, a *admission, value []byte) Response {
+	key := scheduler.JobKey(a.rest)
+	unclear := false
+	started := time.Now()
+	for {
+		err := s.try(ctx, kvstore.Txn{
+			Expect: []kvstore.Condition{{Key: key}, a.condition},
+			Puts:   []kvstore.Write{{Key: key, Value: value}},
+		}, a.age)
+		var conflict *kvstore.ConflictError
+		switch {
+		case err == nil:
+			return Response{Answer: OK, Reason: "stored"}
+		case errors.As(err, &conflict):
+			if found := conflict.Find(key); found.Revision != 0 {
+				return Response{Answer: OK, Reason: "stored before"}
+			}
+			// The configuration has changed, so no write before can take effect any more.
+			unclear = false
+			if _, err := s.follower.Refresh(ctx); err == nil {
+				again, refusal := s.admit(r)
+				if refusal != nil {
+					return *refusal
+				}
+				a.condition, a.age = again.condition, again.age
+				continue
+			}
+		case errors.Is(err, kvstore.ErrUnknownOutcome):
+			unclear = true
+		}
+		if !unclear && (time.Since(started) > refuseAfter || ctx.Err() != nil) {
+			return Response{Answer: NotRun, Reason: "the store does not answer", RetryAfter: comeBack}
+		}
+		if ctx.Err() != nil {
+			return Response{Answer: Unclear, Reason: "the store has not said whether the job is stored"}
+		}
+		s.pause(ctx)
+	}
+}
+
+// try makes one write, unless the store has been silent for long.
+func (s *Service) try(ctx context.Context, txn kvstore.Txn, age time.Duration) error {
+	if age > downAfter {
+		return kvstore.ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := s.store.Txn(ctx, txn)
+	return err
+}
+
+func (s *Service) pause(ctx context.Context) {
+	timer := time.NewTimer(storeRetry)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// State returns the state of a job.
+func (s *Service) State(ctx context.Context, r Request) Response {
+	started := time.Now()
+	a, refusal := s.admit(r)
+	if refusal != nil {
+		return s.log("State refused", r, a, started, *refusal)
+	}
+	if a.rest == "" {
+		return s.count(ctx, r, a, started)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline())
+	defer cancel()
+	state, err := s.read(ctx, a.rest)
+	switch {
+	case errors.Is(err, kvstore.ErrNotFound):
+		return s.log("State answered", r, a, started, Response{Answer: Gone, Reason: "no such job"})
+	case err != nil:
+		return s.log("State answered", r, a, started, Response{Answer: NotRun, Reason: err.Error(), RetryAfter: comeBack})
+	}
+	return s.log("State answered", r, a, started, Response{Answer: OK, State: state})
+}
+
+// read returns the recorded state of a job, again and again while the store fails.
+func (s *Service) read(ctx context.Context, id string) (batch.State, error) {
+	for {
+		state, err := s.readOnce(ctx, id)
+		if err == nil || errors.Is(err, kvstore.ErrNotFound) || ctx.Err() != nil {
+			return state, err
+		}
+		s.pause(ctx)
+	}
+}
+
+func (s *Service) readOnce(ctx context.Context, id string) (batch.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := s.store.Get(ctx, scheduler.RecordKey(id))
+	if errors.Is(err, kvstore.ErrNotFound) {
+		if _, err := s.store.Get(ctx, scheduler.JobKey(id)); err != nil {
+			return "", err
+		}
+		return batch.Queued, nil
+	}
+	if err != nil {
+		return "", err
+	}
+	var record scheduler.Record
+	if err := json.Unmarshal(e.Value, &record); err != nil {
+		return "", err
+	}
+	return record.State, nil
+}
+
+// count answers with the number of waiting jobs of a queue.
+func (s *Service) count(ctx context.Context, r Request, a *admission, started time.Time) Response {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline())
+	defer cancel()
+	pending, err := s.counts(ctx)
+	if err != nil {
+		return s.log("Count answered", r, a, started, Response{Answer: NotRun, Reason: err.Error(), RetryAfter: comeBack})
+	}
+	return s.log("Count answered", r, a, started, Response{Answer: OK, Pending: pending[a.queue.Name]})
+}
+
+func (s *Service) counts(ctx context.Context) (map[string]int, error) {
+	s.mu.Lock()
+	if s.pending != nil && boottime.Now()-s.pendingAt < s.settings.Visible {
+		defer s.mu.Unlock()
+		return s.pending, nil
+	}
+	s.mu.Unlock()
+	for {
+		asked := boottime.Now()
+		pending, err := s.leader.Pending(ctx)
+		if err == nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.pending, s.pendingAt = pending, asked
+			return pending, nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		s.pause(ctx)
+	}
+}
+
+// Cancel ends a job.
+func (s *Service) Cancel(ctx context.Context, r Request) Response {
+	started := time.Now()
+	a, refusal := s.admit(r)
+	if refusal != nil {
+		return s.log("Cancellation refused", r, a, started, *refusal)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline())
+	defer cancel()
+	return s.log("Cancellation answered", r, a, started, s.cancel(ctx, a))
+}
+
+func (s *Service) cancel(ctx context.Context, a *admission) Response {
+	for {
+		err := s.cancelOnce(ctx, a.rest)
+		switch {
+		case err == nil:
+			return Response{Answer: OK}
+		case errors.Is(err, kvstore.ErrNotFound):
+			return Response{Answer: Gone, Reason: "no such job"}
+		case ctx.Err() != nil:
+			return Response{Answer: Unclear, Reason: err.Error()}
+		}
+		s.pause(ctx)
+	}
+}
+
+// cancelOnce writes the cancellation of a job that exists.
+func (s *Service) cancelOnce(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if !validID(id) {
+		return kvstore.ErrNotFound
+	}
+	e, err := s.store.Get(ctx, scheduler.JobKey(id))
+	if err != nil {
+		return err
+	}
+	_, err = s.store.Txn(ctx, kvstore.Txn{
+		Expect: []kvstore.Condition{{Key: e.Key, Revision: e.Revision}, {Key: scheduler.CancelKey(id)}},
+		Puts:   []kvstore.Write{{Key: scheduler.CancelKey(id), Value: []byte("{}")}},
+	})
+	var conflict *kvstore.ConflictError
+	if errors.As(err, &conflict) && conflict.Find(scheduler.CancelKey(id)).Revision != 0 {
+		return nil // cancelled before
+	}
+	return err
+}
+
+// log writes the line of a decision on a request and returns the response.
+func (s *Service) log(message string, r Request, a *admission, started time.Time, response Response) Response {
+	id, queue, team, version, age := r.Path, "", "", s.follower.Catalog().Version, time.Duration(0)
+	if a != nil {
+		id, queue, team, version, age = a.rest, a.queue.Name, a.team, a.catalog.Version, a.age
+	}
+	klog.InfoS(message, "job", id, "queue", queue, "team", team, "answer", response.Answer, "reason", response.Reason,
+		"state", response.State, "pending", response.Pending, "catalog", version, "catalogAgeMs", age.Milliseconds(),
+		"tookMs", time.Since(started).Milliseconds())
+	return response
+}
--- a/internal/kvstore/call.go
+++ b/internal/kvstore/call.go
@@ -94,7 +94,7 @@
 	case StatusNotFound:
 		return ErrNotFound
 	case StatusConflict:
-		return ErrConflict
+		return conflict(body)
 	case StatusTooLarge:
 		return ErrTooLarge
 	case StatusCompacted:
@@ -113,6 +113,15 @@
 	return err
 }
 
+// conflict returns the current entries of a transaction's conditions if the answer names them.
+func conflict(body []byte) error {
+	var e ErrorResponse
+	if json.Unmarshal(body, &e) != nil || e.Current == nil {
+		return ErrConflict
+	}
+	return &ConflictError{Current: e.Current}
+}
+
 // isAnswer reports whether the error is the service's own answer to the call.
 func isAnswer(err error) bool {
 	for _, answer := range []error{ErrNotFound, ErrConflict, ErrTooLarge, ErrCompacted, ErrLeaseNotFound} {
--- a/internal/kvstore/http.go
+++ b/internal/kvstore/http.go
@@ -109,6 +109,15 @@
 	return r.Revision, nil
 }
 
+// Txn implements Store.
+func (h *HTTP) Txn(ctx context.Context, t Txn) (Revision, error) {
+	var r PutResponse
+	if err := h.write(ctx, PathTxn, t, &r); err != nil {
+		return 0, fmt.Errorf("transaction: %w", err)
+	}
+	return r.Revision, nil
+}
+
 // Delete implements Store.
 func (h *HTTP) Delete(ctx context.Context, key string, expect Revision) error {
 	err := h.write(ctx, PathDelete, DeleteRequest{Key: key, Expect: expect}, &EmptyResponse{})
--- a/internal/kvstore/memstore/faults.go
+++ b/internal/kvstore/memstore/faults.go
@@ -53,6 +53,7 @@
 	CallGet       Call = "get"
 	CallRange     Call = "range"
 	CallPut       Call = "put"
+	CallTxn       Call = "txn"
 	CallDelete    Call = "delete"
 	CallGrant     Call = "grant"
 	CallKeepAlive Call = "keep_alive"
--- a/internal/kvstore/store.go
+++ b/internal/kvstore/store.go
@@ -55,6 +55,9 @@
 	// Put writes value if the key's revision equals expect (zero: the key must not exist) and attaches it to
 	// the lease if one is given. It returns ErrConflict, ErrUnavailable or ErrUnknownOutcome on failure.
 	Put(ctx context.Context, key string, value []byte, expect Revision, lease LeaseID) (Revision, error)
+	// Txn carries out several writes and deletes together, on conditions. A condition that does not hold is reported
+	// as a *ConflictError, a lease that has ended as ErrLeaseNotFound; neither has an effect.
+	Txn(ctx context.Context, t Txn) (Revision, error)
 	// Delete removes the key if its revision equals expect.
 	Delete(ctx context.Context, key string, expect Revision) error
 	// Range returns at most limit entries whose key has the prefix and sorts after the key `after`, in key
--- a/internal/kvstore/wire.go
+++ b/internal/kvstore/wire.go
@@ -8,6 +8,7 @@
 	PathGet       = "/v1/get"
 	PathRange     = "/v1/range"
 	PathPut       = "/v1/put"
+	PathTxn       = "/v1/txn"
 	PathDelete    = "/v1/delete"
 	PathWatch     = "/v1/watch"
 	PathGrant     = "/v1/lease/grant"
@@ -101,4 +102,6 @@
 // ErrorResponse explains a status other than 200.
 type ErrorResponse struct {
 	Reason string `json:"reason"`
+	// Current holds the keys of a transaction's conditions after a conflict.
+	Current []Entry `json:"current,omitempty"`
 }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,215 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/rpc"
+)
+
+// Driver speaks to the worker.
+type Driver interface {
+	// Runs extends the lease of what runs and returns the runs. It waits for an end for at most wait. leaseUntilMS
+	// zero extends nothing.
+	Runs(ctx context.Context, life batch.Life, fence, forget, leaseUntilMS int64, wait time.Duration) (batch.Runs, error)
+	// Start starts a run. An error comes with the verdict Unknown.
+	Start(ctx context.Context, r StartRequest) (batch.Verdict, error)
+	// Stop stops a run.
+	Stop(ctx context.Context, r StopRequest) (batch.Verdict, error)
+}
+
+const (
+	// orderTimeout bounds one order. The worker is on the same machine and answers within a millisecond.
+	orderTimeout = 400 * time.Millisecond
+	// runsSlack is what an answer about the runs may take beyond its wait.
+	runsSlack = 600 * time.Millisecond
+)
+
+// Relay is the agent of one worker.
+type Relay struct {
+	driver Driver
+
+	mu     sync.Mutex
+	term   int64
+	worker *batch.Worker
+	left   batch.Life // the last life that announced its end
+	news   chan struct{}
+}
+
+// New returns the agent of the worker that the driver reaches.
+func New(driver Driver) *Relay {
+	return &Relay{driver: driver, news: make(chan struct{})}
+}
+
+// Handlers returns the methods that the relay serves.
+func (r *Relay) Handlers() rpc.Handlers {
+	return rpc.Handlers{
+		MethodSync:  rpc.Method(r.sync),
+		MethodStart: rpc.Method(r.start),
+		MethodStop:  rpc.Method(r.stop),
+	}
+}
+
+// Announce takes what the worker says of itself. Announcements of an earlier life, and late ones, are ignored.
+func (r *Relay) Announce(w batch.Worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if k := r.worker; k != nil {
+		if w.Life.Born < k.Life.Born || w.Life == k.Life && w.Sequence <= k.Sequence {
+			klog.V(1).InfoS("Ignored late announcement", "worker", w.Life, "sequence", w.Sequence,
+				"known", k.Life, "knownSequence", k.Sequence)
+			return
+		}
+		if w.Life != k.Life || w.Leaving != k.Leaving {
+			klog.InfoS("Worker changed", "worker", w.Life, "before", k.Life, "leaving", w.Leaving,
+				"sequence", w.Sequence)
+			r.wake()
+		}
+	} else {
+		klog.InfoS("Worker announced", "worker", w.Life, "service", w.Service, "rack", w.Rack, "capacity", w.Capacity)
+		r.wake()
+	}
+	r.worker = &w
+}
+
+// Leave takes the announcement that the worker with the id ends.
+func (r *Relay) Leave(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.worker == nil || r.worker.Life.ID != id {
+		klog.InfoS("Ignored end of an unknown worker", "id", id)
+		return
+	}
+	klog.InfoS("Worker left", "worker", r.worker.Life)
+	r.left = r.worker.Life
+	r.wake()
+}
+
+// wake makes waiting answers return. The mutex is held.
+func (r *Relay) wake() {
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+// admit lets calls of the newest term through.
+func (r *Relay) admit(term int64, conn *rpc.Conn) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if term < r.term {
+		return &jsonrpc2.Error{Code: codeSuperseded, Message: fmt.Sprintf("term %d, now %d", term, r.term)}
+	}
+	if term > r.term {
+		klog.InfoS("New leader", "term", term, "before", r.term, "remote", conn.Remote())
+		r.term = term
+	}
+	return nil
+}
+
+func (r *Relay) sync(ctx context.Context, conn *rpc.Conn, req SyncRequest) (SyncResponse, error) {
+	if err := r.admit(req.Term, conn); err != nil {
+		return SyncResponse{}, err
+	}
+	r.mu.Lock()
+	news := r.news
+	known := r.worker
+	r.mu.Unlock()
+	wait := time.Duration(req.WaitMS) * time.Millisecond
+	life := req.Life // an agent that has just started learns the life of its worker from the leader first
+	if known != nil {
+		life = known.Life
+	}
+	if life == (batch.Life{}) {
+		return SyncResponse{Problem: "the worker has not announced itself"}, nil
+	}
+	if life != req.Life {
+		wait = 0
+	}
+	runs, err := r.runs(ctx, req, life, wait, news)
+	response := SyncResponse{}
+	if err != nil {
+		response.Problem = err.Error()
+	} else {
+		response.Runs = &runs
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.worker != nil {
+		if r.worker.Life != req.Life || r.worker.Sequence > req.Sequence {
+			response.Worker = r.worker
+		}
+		response.Left = r.left == r.worker.Life
+	}
+	return response, nil
+}
+
+// runs asks the worker for its runs. News of the worker itself end the wait.
+func (r *Relay) runs(ctx context.Context, req SyncRequest, life batch.Life, wait time.Duration, news <-chan struct{}) (
+	batch.Runs, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+runsSlack)
+	defer cancel()
+	if life != req.Life {
+		return r.driver.Runs(ctx, life, req.Fence, 0, 0, 0)
+	}
+	if wait > 0 {
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			select {
+			case <-news:
+				cancel()
+			case <-stop:
+			}
+		}()
+	}
+	runs, err := r.driver.Runs(ctx, life, req.Fence, req.Forget, req.LeaseUntilMS, wait)
+	if err == nil && runs.Life != life {
+		klog.InfoS("Worker answered for another life", "worker", runs.Life, "known", life)
+	}
+	return runs, err
+}
+
+func (r *Relay) start(ctx context.Context, conn *rpc.Conn, req StartRequest) (OrderResponse, error) {
+	if err := r.admit(req.Term, conn); err != nil {
+		return OrderResponse{}, err
+	}
+	if !r.alive(req.Life) {
+		return OrderResponse{Verdict: batch.OldLife}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	verdict, err := r.driver.Start(ctx, req)
+	return respond(verdict, err), nil
+}
+
+func (r *Relay) stop(ctx context.Context, conn *rpc.Conn, req StopRequest) (OrderResponse, error) {
+	if err := r.admit(req.Term, conn); err != nil {
+		return OrderResponse{}, err
+	}
+	if !r.alive(req.Life) {
+		return OrderResponse{Verdict: batch.OldLife}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	verdict, err := r.driver.Stop(ctx, req)
+	return respond(verdict, err), nil
+}
+
+func (r *Relay) alive(life batch.Life) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.worker == nil || r.worker.Life == life
+}
+
+func respond(v batch.Verdict, err error) OrderResponse {
+	o := OrderResponse{Verdict: v}
+	if err != nil {
+		o.Problem = err.Error()
+	}
+	return o
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,320 @@
+// Package scheduler places the tasks of multi-step jobs on the workers of all regions. One entry, the leader, runs it.
+//
+// Core is a state machine without I/O: it is told what was accepted, what workers report and how the clock moves, and
+// returns records to write and orders to send. An assignment is recorded before its order is sent, and an end is
+// recorded before the worker forgets it, so that the next leader knows where each task may run. Service connects the
+// core to the store and the agents.
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/kvstore"
+)
+
+// Config holds the bounds of a deployment that the core has to keep.
+type Config struct {
+	// Lease is how long a worker keeps what it runs without a new grant, on its own clock.
+	Lease time.Duration
+	// TakeoverWait is how long a new leader waits for a worker that it has not reached before it takes the worker's
+	// tasks as ended: the time for which a leader before it may still have extended the lease, and the lease.
+	TakeoverWait time.Duration
+	// StopTime is the longest that a worker takes to stop a task.
+	StopTime time.Duration
+	// GangWait is how long members of a gang wait for the others.
+	GangWait time.Duration
+	// FarFactor is how many times as long tasks take away from their data or spread over racks.
+	FarFactor float64
+	// Early is how much before its due time an occurrence may start.
+	Early time.Duration
+	// KeepFinal is how long the state of a finished job is kept.
+	KeepFinal time.Duration
+	// CheckpointEvery is the time of work between two checkpoints.
+	CheckpointEvery time.Duration
+}
+
+// clockTolerance allows for a worker's clock that is 2% slow.
+const clockTolerance = 1.02
+
+// Limits and pauses of the core.
+const (
+	// leaseMargin is added to the computed end of a lease, for the time that a kill takes.
+	leaseMargin = 300 * time.Millisecond
+	// freshFor is the age up to which a report makes its worker eligible for new tasks.
+	freshFor = 2500 * time.Millisecond
+	// retryPause keeps a task that a worker refused from being offered again at once.
+	retryPause = 150 * time.Millisecond
+	// stopRepeat is the time after which an order to stop that has had no effect is sent again.
+	stopRepeat = 500 * time.Millisecond
+	// missingReports is the number of reports in a row without a confirmed run after which it is taken as lost.
+	missingReports = 2
+)
+
+// Core is the state of the scheduler. It is not safe for concurrent use.
+type Core struct {
+	config  Config
+	catalog *batch.Catalog
+	jobs    map[string]*job
+	order   []*job // open jobs in the order in which they were learned of
+	workers map[string]*worker
+	cancels map[string]bool // cancellations that came before their jobs
+	started time.Duration   // when this leader took over
+	outbox  []Order         // orders that need no record
+	learned durations
+	claims  map[*stepRun]*claim
+	changed bool // something may be placed that could not before
+	planned time.Duration
+	stats   Stats
+}
+
+// Stats counts decisions since the leader took over.
+type Stats struct {
+	Started, Refused, Preempted, Lost, Failed, Done, Moved int64
+}
+
+// NewCore returns a core that knows no jobs and no workers.
+func NewCore(config Config, now time.Duration) *Core {
+	return &Core{config: config, jobs: map[string]*job{}, workers: map[string]*worker{}, cancels: map[string]bool{},
+		claims: map[*stepRun]*claim{}, started: now, catalog: &batch.Catalog{}, learned: durations{}}
+}
+
+// Stats returns the counts of decisions.
+func (c *Core) Stats() Stats { return c.stats }
+
+// SetCatalog replaces the configuration. An older version is ignored.
+func (c *Core) SetCatalog(catalog *batch.Catalog) {
+	if catalog.Version >= c.catalog.Version {
+		c.catalog = catalog
+		c.changed = true
+	}
+}
+
+// queue returns the queue of a job as it is configured now, or as it was when the job was accepted.
+func (c *Core) queue(j *job) *batch.Queue {
+	if q := c.catalog.Queue(j.Queue.Name); q != nil {
+		return q
+	}
+	return &j.Queue
+}
+
+// AddJob takes an accepted job. A nil record means that it has none.
+func (c *Core) AddJob(b batch.Job, record []byte, revision kvstore.Revision, now time.Duration, wall time.Time) error {
+	if c.jobs[b.ID] != nil {
+		return nil
+	}
+	j := newJob(b, now, wall)
+	if record != nil {
+		if err := j.restore(record, revision, now); err != nil {
+			return err
+		}
+	}
+	c.jobs[b.ID] = j
+	if !j.state.Final() {
+		c.order = append(c.order, j)
+		c.openDue(j, now, wall)
+	}
+	if c.cancels[b.ID] {
+		c.Cancel(b.ID, now, wall)
+	}
+	j.each(func(t *task) {
+		if t.active() {
+			c.worker(t.node, now).tasks[t] = struct{}{}
+		}
+	})
+	c.changed = true
+	return nil
+}
+
+// Cancel ends a job at its caller's wish.
+func (c *Core) Cancel(id string, now time.Duration, wall time.Time) {
+	j := c.jobs[id]
+	if j == nil {
+		c.cancels[id] = true
+		return
+	}
+	if !j.state.Final() {
+		c.finish(j, batch.Cancelled, now, wall)
+	}
+}
+
+// finish moves a job to a final state and stops what runs.
+func (c *Core) finish(j *job, state batch.State, now time.Duration, wall time.Time) {
+	klog.InfoS("Job finished", "job", j.ID, "state", state, "before", j.state, "queue", j.Queue.Name,
+		"waitedMs", j.waited(now).Milliseconds())
+	j.state, j.finishedAt, j.dirty = state, wall, true
+	j.each(func(t *task) {
+		switch t.phase {
+		case assigned:
+			c.stop(t, "job "+string(state), now)
+		case waiting:
+			t.phase = done
+		}
+	})
+	c.order = slices.DeleteFunc(c.order, func(o *job) bool { return o == j })
+	c.changed = true
+}
+
+// openDue makes the tasks of the occurrences that are due.
+func (c *Core) openDue(j *job, now time.Duration, wall time.Time) {
+	for j.next < j.Occurrences() && !wall.Before(j.Due(j.next)) {
+		o := j.open(j.next)
+		j.next++
+		j.dirty = true
+		c.changed = true
+		klog.V(1).InfoS("Occurrence due", "job", j.ID, "occurrence", o.number, "steps", len(o.steps), "now", now)
+	}
+}
+
+// Tick moves the clock: it ends what has expired, repeats orders without effect and plans.
+func (c *Core) Tick(now time.Duration, wall time.Time) {
+	for _, j := range c.order {
+		c.openDue(j, now, wall)
+	}
+	for _, w := range c.workers {
+		c.check(w, now, wall)
+	}
+	c.forget(wall)
+	if c.changed || now-c.planned >= planInterval {
+		c.changed = false
+		c.planned = now
+		c.plan(now)
+	}
+}
+
+// forget removes finished jobs whose state has been kept for long enough.
+func (c *Core) forget(wall time.Time) {
+	for _, j := range c.jobs {
+		if j.state.Final() && !j.dirty && !j.writing && wall.Sub(j.finishedAt) > c.config.KeepFinal && j.idle() {
+			j.dirty = true
+			j.state = forgotten
+		}
+	}
+}
+
+// forgotten marks a job whose keys are being removed.
+const forgotten batch.State = "forgotten"
+
+// idle reports whether no task of the job occupies a worker.
+func (j *job) idle() bool {
+	idle := true
+	j.each(func(t *task) { idle = idle && !t.active() })
+	return idle
+}
+
+// Orders returns the orders that can be sent at once.
+func (c *Core) Orders() []Order {
+	o := c.outbox
+	c.outbox = nil
+	return o
+}
+
+// Take returns the changes to write next, at most limit. Until Committed or Abandon the jobs are left out.
+func (c *Core) Take(limit int) (*Batch, error) {
+	b := &Batch{forget: map[string]int64{}}
+	all := true
+	for _, j := range c.jobs {
+		if !j.dirty {
+			all = all && !j.writing
+			continue
+		}
+		if j.writing || len(b.Changes) == limit {
+			all = false
+			continue
+		}
+		change := Change{Job: j.ID, Expect: j.revision, Forget: j.state == forgotten}
+		if !change.Forget {
+			record, err := j.record()
+			if err != nil {
+				return nil, err
+			}
+			change.Record = record
+		}
+		b.Changes = append(b.Changes, change)
+		b.orders = append(b.orders, j.orders...)
+		j.orders, j.dirty, j.writing = nil, false, true
+	}
+	if all { // ends of jobs that are left out must not be forgotten yet
+		for _, w := range c.workers {
+			if w.seenEnd > w.forgetEnd {
+				b.forget[w.node] = w.seenEnd
+			}
+		}
+	}
+	if len(b.Changes) == 0 {
+		c.remember(b)
+		return nil, nil
+	}
+	return b, nil
+}
+
+// Committed takes note that a batch was written at a revision and returns the orders that may be sent now.
+func (c *Core) Committed(b *Batch, revision kvstore.Revision, now time.Duration) []Order {
+	for _, change := range b.Changes {
+		j := c.jobs[change.Job]
+		if j == nil {
+			continue
+		}
+		j.writing = false
+		if change.Forget {
+			delete(c.jobs, j.ID)
+			delete(c.cancels, j.ID)
+			continue
+		}
+		j.revision = revision
+	}
+	c.remember(b)
+	orders := b.orders[:0]
+	for _, o := range b.orders {
+		if t := c.current(o); t != nil && t.phase == assigned {
+			t.assignedAt, t.ordered = now, true
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+// remember lets workers forget the ends that are recorded.
+func (c *Core) remember(b *Batch) {
+	for node, n := range b.forget {
+		if w := c.workers[node]; w != nil && n <= w.seenEnd {
+			w.forgetEnd = max(w.forgetEnd, n)
+		}
+	}
+}
+
+// current returns the task of an order if the order is for its present run and worker.
+func (c *Core) current(o Order) *task {
+	j := c.jobs[o.Task.Job]
+	if j == nil {
+		return nil
+	}
+	t := j.find(o.Task)
+	if t == nil || t.run != o.Run || t.node != o.Node || t.life != o.Life || !t.active() {
+		return nil
+	}
+	return t
+}
+
+// Pending returns, for each queue, the number of jobs of which no task has started.
+func (c *Core) Pending() map[string]int {
+	n := map[string]int{}
+	for _, j := range c.order {
+		if !j.started {
+			n[j.Queue.Name]++
+		}
+	}
+	return n
+}
+
+// StateOf returns the state of a job and whether the core knows it.
+func (c *Core) StateOf(id string) (batch.State, bool) {
+	j := c.jobs[id]
+	if j == nil || j.state == forgotten {
+		return "", false
+	}
+	return j.state, true
+}
--- /dev/null
+++ b/internal/scheduler/order.go
@@ -0,0 +1,55 @@
+package scheduler
+
+import (
+	"time"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/kvstore"
+)
+
+// OrderKind tells what a worker is to do.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderStart OrderKind = "start"
+	OrderStop  OrderKind = "stop"
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Kind       OrderKind
+	Node       string
+	Life       batch.Life
+	Task       batch.TaskID
+	Run        int
+	Payload    string
+	Checkpoint string
+}
+
+// Change is the new record of one job.
+type Change struct {
+	Job    string
+	Expect kvstore.Revision
+	Record []byte
+	// Forget removes the job with all its keys.
+	Forget bool
+}
+
+// Batch is what is written to the store in one transaction, and what follows from it.
+type Batch struct {
+	Changes []Change
+	// orders are sent and forget is told to the workers after the write.
+	orders []Order
+	forget map[string]int64
+}
+
+// Report is what an agent said of its worker.
+type Report struct {
+	Node string
+	// Asked is when the leader sent the question, Heard when it had the answer.
+	Asked, Heard time.Duration
+	Worker       *batch.Worker
+	Left         bool
+	Runs         *batch.Runs
+}
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,331 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
+)
+
+const (
+	// planInterval is the longest time between two plans: estimates and claims change with time alone.
+	planInterval = 250 * time.Millisecond
+	// farPatience is how long a step waits for room near its data or within one rack, as a multiple of its expected
+	// duration, before it goes elsewhere.
+	farPatience = 1.0
+	// reservations is the number of steps for which room that becomes free is kept.
+	reservations = 3
+)
+
+// unit is what is placed at once: all tasks of a gang, or the waiting tasks of a step that start independently.
+type unit struct {
+	step   *stepRun
+	tasks  []*task
+	queue  *batch.Queue
+	latest time.Duration // start by then to meet the latency objective
+}
+
+// plan places waiting tasks: the most urgent first, others into the room that those cannot use.
+func (c *Core) plan(now time.Duration) {
+	free := map[string]batch.Resources{}
+	for _, w := range c.workers {
+		if w.usable(now) {
+			free[w.node] = w.info.Capacity.Minus(w.used())
+		}
+	}
+	p := &planner{core: c, now: now, free: free, reserved: map[string]time.Duration{}}
+	c.dropClaims(now)
+	for _, u := range c.units(now) {
+		p.place(u)
+	}
+}
+
+// units returns what can be placed, in the order of urgency.
+func (c *Core) units(now time.Duration) []unit {
+	var us []unit
+	for _, j := range c.order {
+		for n := range j.next {
+			o := j.occurrences[n]
+			if o == nil {
+				continue
+			}
+			for _, s := range o.steps {
+				if s.open > 0 && s.ready() {
+					us = c.appendUnit(us, s, now)
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(us, func(a, b unit) int {
+		return cmp.Or(cmp.Compare(a.queue.Priority, b.queue.Priority), cmp.Compare(a.latest, b.latest))
+	})
+	return us
+}
+
+func (c *Core) appendUnit(us []unit, s *stepRun, now time.Duration) []unit {
+	u := unit{step: s, queue: c.queue(s.job())}
+	for _, t := range s.tasks {
+		if t.phase == waiting && t.retryAt <= now {
+			u.tasks = append(u.tasks, t)
+		}
+	}
+	if len(u.tasks) == 0 || s.spec.Gang && len(u.tasks) < s.spec.Count {
+		return us
+	}
+	u.latest = c.deadline(s, now) - c.chain(s)
+	return append(us, u)
+}
+
+// deadline returns when the job of a step has to be done to meet its objective.
+func (c *Core) deadline(s *stepRun, now time.Duration) time.Duration {
+	j := s.job()
+	q := c.queue(j)
+	whole := time.Duration(0)
+	for _, first := range s.occurrence.steps {
+		if len(first.spec.After) == 0 {
+			whole = max(whole, c.chain(first))
+		}
+	}
+	return now - j.waited(now) + time.Duration(float64(whole)*q.Slack) + q.Target
+}
+
+// chain returns the time of the longest chain of steps that begins with a step.
+func (c *Core) chain(s *stepRun) time.Duration {
+	after := time.Duration(0)
+	for _, next := range s.occurrence.steps[s.index+1:] {
+		if slices.Contains(next.spec.After, s.index) {
+			after = max(after, c.chain(next))
+		}
+	}
+	return c.expected(s) + after
+}
+
+// planner is one pass over the units.
+type planner struct {
+	core     *Core
+	now      time.Duration
+	free     map[string]batch.Resources
+	reserved map[string]time.Duration // from when a worker's room is kept for a more urgent unit
+	kept     int
+}
+
+// place assigns a unit, claims room for it, or keeps room that becomes free for it.
+func (p *planner) place(u unit) {
+	s := u.step
+	if !s.spec.Gang {
+		rest := u.tasks[:0]
+		for _, t := range u.tasks {
+			if nodes := p.choose(u, 1, true); nodes != nil {
+				p.assign(u, []*task{t}, nodes)
+			} else {
+				rest = append(rest, t)
+			}
+		}
+		if u.tasks = rest; len(rest) > 0 {
+			p.await(u, 1)
+		}
+		return
+	}
+	if nodes := p.choose(u, len(u.tasks), true); nodes != nil {
+		p.assign(u, u.tasks, nodes)
+		return
+	}
+	p.await(u, len(u.tasks))
+}
+
+// candidates returns the workers that may run tasks of the step, with what is free on them.
+func (p *planner) candidates(u unit, free map[string]batch.Resources, backfill bool) []candidate {
+	s := u.step
+	need := s.spec.Reserved()
+	end := p.now + p.core.expected(s)
+	var cs []candidate
+	for _, w := range p.core.workers {
+		room, ok := free[w.node]
+		if !ok || w.info.Service != u.queue.Service || !w.info.HasLabel(s.spec.RequiredLabel) {
+			continue
+		}
+		if from, ok := p.reserved[w.node]; ok && backfill && end > from {
+			continue
+		}
+		cand := candidate{node: w.node, rack: w.info.Rack, free: room, copies: need.Copies(room), slow: w.slowness}
+		if s.spec.MaxPerWorker > 0 {
+			cand.copies = min(cand.copies, s.spec.MaxPerWorker-s.on(w.node))
+		}
+		if cand.copies <= 0 {
+			continue
+		}
+		for _, t := range u.tasks {
+			cand.avoided = cand.avoided || t.failedOn[w.node]
+		}
+		cs = append(cs, cand)
+	}
+	return cs
+}
+
+// on returns how many tasks of the step occupy a worker.
+func (s *stepRun) on(node string) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.active() && t.node == node {
+			n++
+		}
+	}
+	return n
+}
+
+// choose returns workers for n tasks of the unit with what is free now, or nil.
+func (p *planner) choose(u unit, n int, backfill bool) []string {
+	return p.chooseFrom(u, n, p.candidates(u, p.free, backfill))
+}
+
+func (p *planner) chooseFrom(u unit, n int, cs []candidate) []string {
+	s := u.step.spec
+	need := s.Reserved()
+	near := cs
+	if s.DataRack != "" {
+		near = slices.DeleteFunc(slices.Clone(cs), func(c candidate) bool { return c.rack != s.DataRack })
+	}
+	var nodes []string
+	if s.Gang && s.OneRack {
+		nodes = packInRack(near, need, n)
+	} else {
+		nodes = pack(near, need, n)
+	}
+	if nodes != nil || !p.mayGoFar(u, n) {
+		return nodes
+	}
+	if s.Gang && s.OneRack {
+		if nodes = packInRack(cs, need, n); nodes != nil {
+			return nodes
+		}
+	}
+	return pack(cs, need, n)
+}
+
+// mayGoFar reports whether the unit has waited for long enough to run slower, or can never run near.
+func (p *planner) mayGoFar(u unit, n int) bool {
+	s := u.step.spec
+	if s.DataRack == "" && !(s.Gang && s.OneRack) {
+		return false
+	}
+	if !p.holdable(u, n) {
+		return true
+	}
+	return p.now-u.latest > time.Duration(float64(p.core.expected(u.step))*farPatience)
+}
+
+// holdable reports whether the workers near the data, or those of some rack, could hold the unit if they were empty.
+func (p *planner) holdable(u unit, n int) bool {
+	s := u.step.spec
+	empty := map[string]batch.Resources{}
+	for _, w := range p.core.workers {
+		if w.info != nil && !w.left && (s.DataRack == "" || w.info.Rack == s.DataRack) && !w.info.Leaving {
+			empty[w.node] = w.info.Capacity
+		}
+	}
+	cs := p.candidates(u, empty, false)
+	if s.Gang && s.OneRack {
+		return packInRack(cs, s.Reserved(), n) != nil
+	}
+	return pack(cs, s.Reserved(), n) != nil
+}
+
+// assign gives tasks to workers. The orders follow the record.
+func (p *planner) assign(u unit, tasks []*task, nodes []string) {
+	c, s := p.core, u.step
+	j := s.job()
+	run := 0
+	if s.spec.Gang {
+		run = s.maxRun() + 1
+	}
+	checkpoint := ""
+	if s.spec.Gang {
+		checkpoint = s.gangCheckpoint()
+	}
+	klog.InfoS("Placed", "job", j.ID, "step", s.index, "occurrence", s.occurrence.number, "tasks", len(tasks),
+		"first", tasks[0].id.Index, "nodes", nodes, "priority", u.queue.Priority, "waitedMs", j.waited(p.now).Milliseconds(),
+		"slackMs", (u.latest - p.now).Milliseconds(), "catalog", c.catalog.Version)
+	for i, t := range tasks {
+		w := c.workers[nodes[i]]
+		t.run = max(t.run+1, run)
+		t.phase, t.node, t.life = assigned, w.node, w.info.Life
+		t.assignedAt, t.startedAt, t.percentAt, t.startPct = p.now, p.now, p.now, -1
+		t.ordered, t.doubtful = false, false
+		t.confirmed, t.missing, t.stopAt, t.stopSettled, t.percent = false, 0, 0, 0, 0
+		w.tasks[t] = struct{}{}
+		p.free[w.node] = p.free[w.node].Minus(s.spec.Reserved())
+		if s.spec.Gang {
+			t.checkpoint = checkpoint
+		}
+		j.orders = append(j.orders, c.startOrder(t))
+	}
+	j.dirty = true
+	delete(c.claims, s)
+}
+
+// gangCheckpoint returns the checkpoint of the member that saved last. Checkpoints of one step are of equal length
+// and rise.
+func (s *stepRun) gangCheckpoint() string {
+	best := ""
+	for _, t := range s.tasks {
+		if t.checkpoint > best {
+			best = t.checkpoint
+		}
+	}
+	return best
+}
+
+// await claims room by preemption if the unit may do so, or keeps room that becomes free.
+func (p *planner) await(u unit, n int) {
+	if cl := p.core.claims[u.step]; cl != nil {
+		p.keepClaim(cl)
+		return
+	}
+	if cl := p.preempt(u, n); cl != nil {
+		p.keepClaim(cl)
+		return
+	}
+	if p.kept < reservations {
+		p.reserve(u, n)
+	}
+}
+
+// reserve finds the earliest time at which the unit fits as running tasks end, and keeps the workers for it from then.
+func (p *planner) reserve(u unit, n int) {
+	type release struct {
+		at   time.Duration
+		node string
+		r    batch.Resources
+	}
+	var releases []release
+	for _, w := range p.core.workers {
+		if _, ok := p.free[w.node]; !ok {
+			continue
+		}
+		for t := range w.tasks {
+			releases = append(releases, release{p.now + p.core.remaining(t, p.now), w.node, t.step.spec.Reserved()})
+		}
+	}
+	slices.SortFunc(releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
+	free := make(map[string]batch.Resources, len(p.free))
+	for node, r := range p.free {
+		free[node] = r
+	}
+	for _, r := range releases {
+		free[r.node] = free[r.node].Plus(r.r)
+		nodes := p.chooseFrom(u, n, p.candidates(u, free, false))
+		if nodes == nil {
+			continue
+		}
+		p.kept++
+		for _, node := range nodes {
+			if at, ok := p.reserved[node]; !ok || r.at < at {
+				p.reserved[node] = r.at
+			}
+		}
+		return
+	}
+}
--- /dev/null
+++ b/internal/scheduler/preempt.go
@@ -0,0 +1,189 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
+)
+
+// claim is room that is being freed for a step by preemption.
+type claim struct {
+	until time.Duration
+	nodes []string // one entry a task
+	need  batch.Resources
+}
+
+// claimFor bounds a claim: stopping takes less, and a claim that did not succeed is tried anew.
+const claimFor = 1500 * time.Millisecond
+
+func (c *Core) dropClaims(now time.Duration) {
+	for s, cl := range c.claims {
+		if now > cl.until || s.job().state.Final() {
+			delete(c.claims, s)
+		}
+	}
+}
+
+// keepClaim takes the room of a claim from what others may use.
+func (p *planner) keepClaim(cl *claim) {
+	for _, node := range cl.nodes {
+		if room, ok := p.free[node]; ok {
+			p.free[node] = room.Minus(cl.need)
+		}
+	}
+}
+
+// preempt stops less important tasks so that the unit fits, if it is of the first priority. It chooses the workers on
+// which the least work is lost.
+func (p *planner) preempt(u unit, n int) *claim {
+	if u.queue.Priority != 0 {
+		return nil
+	}
+	s := u.step
+	need := s.spec.Reserved()
+	var best *eviction
+	for _, group := range p.groups(u, n) {
+		if e := p.evict(u, group, need, n); e != nil && (best == nil || e.cost < best.cost) {
+			best = e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	cl := &claim{until: p.now + claimFor, nodes: best.nodes, need: need}
+	p.core.claims[s] = cl
+	klog.InfoS("Preempting", "job", s.job().ID, "step", s.index, "tasks", n, "nodes", best.nodes,
+		"victims", len(best.victims), "cost", best.cost)
+	for _, v := range best.victims {
+		if v.phase == assigned {
+			p.core.stats.Preempted++
+			p.core.stop(v, "preempted by "+s.job().ID, p.now)
+			p.core.breakGang(v, "member preempted", p.now)
+		}
+	}
+	return cl
+}
+
+// groups returns the sets of workers of which one has to hold the unit.
+func (p *planner) groups(u unit, n int) [][]candidate {
+	s := u.step.spec
+	all := map[string]batch.Resources{}
+	for node := range p.free {
+		all[node] = p.core.workers[node].info.Capacity
+	}
+	cs := p.candidates(u, all, false)
+	far := p.mayGoFar(u, n)
+	if s.DataRack != "" && !far {
+		cs = slices.DeleteFunc(cs, func(c candidate) bool { return c.rack != s.DataRack })
+	}
+	if s.Gang && s.OneRack && !far {
+		return racks(cs)
+	}
+	return [][]candidate{cs}
+}
+
+// eviction is a way to make room.
+type eviction struct {
+	nodes   []string
+	victims []*task
+	cost    float64
+}
+
+// evict finds the cheapest victims on the workers of a group so that n tasks fit.
+func (p *planner) evict(u unit, group []candidate, need batch.Resources, n int) *eviction {
+	var slots []slot
+	for _, c := range group {
+		slots = append(slots, p.slots(u, c, need, n)...)
+	}
+	if len(slots) < n {
+		return nil
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.cost, b.cost) })
+	e := &eviction{}
+	for _, sl := range slots[:n] {
+		e.nodes = append(e.nodes, sl.node)
+		e.victims = append(e.victims, sl.victims...)
+		e.cost += sl.cost
+	}
+	return e
+}
+
+// slot is room for one task on a worker, and what has to be stopped for it beyond the slots before.
+type slot struct {
+	node    string
+	victims []*task
+	cost    float64
+}
+
+// slots returns the slots that a worker can give, the cheapest first. Costs rise within a worker, so that taking the
+// cheapest slots of all workers never skips one of them.
+func (p *planner) slots(u unit, c candidate, need batch.Resources, n int) []slot {
+	w := p.core.workers[c.node]
+	free := p.free[c.node]
+	var victims []*task
+	for t := range w.tasks {
+		if p.core.queue(t.step.job()).Priority <= u.queue.Priority {
+			continue
+		}
+		if t.phase == stopping {
+			free = free.Plus(t.step.spec.Reserved()) // is being freed already
+			continue
+		}
+		victims = append(victims, t)
+	}
+	cost := func(t *task) float64 { return p.loss(t) / max(t.step.spec.Reserved().Cores(), 1) }
+	slices.SortFunc(victims, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(a.id.String(), b.id.String()))
+	})
+	var slots []slot
+	limit := n
+	if s := u.step.spec; s.MaxPerWorker > 0 {
+		limit = min(limit, s.MaxPerWorker)
+	}
+	floor := 0.0
+	for len(slots) < limit {
+		sl := slot{node: c.node}
+		for !need.Fits(free) && len(victims) > 0 {
+			v := victims[0]
+			victims = victims[1:]
+			free = free.Plus(v.step.spec.Reserved())
+			sl.victims = append(sl.victims, v)
+			sl.cost += p.loss(v)
+		}
+		if !need.Fits(free) {
+			break
+		}
+		free = free.Minus(need)
+		sl.cost = max(sl.cost, floor)
+		floor = sl.cost
+		slots = append(slots, sl)
+	}
+	return slots
+}
+
+// loss returns the work in core-seconds that is thrown away when a task is stopped, its gang included.
+func (p *planner) loss(t *task) float64 {
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	sum := 0.0
+	for _, m := range members {
+		if m.phase != assigned {
+			continue
+		}
+		ran := p.now - m.startedAt
+		if m.step.spec.Checkpoints {
+			ran = min(ran, p.core.config.CheckpointEvery)
+		}
+		sum += ran.Seconds()*m.step.spec.Need.Cores() + restartLoss
+	}
+	return sum
+}
+
+// restartLoss is the price of a restart by itself, in core-seconds.
+const restartLoss = 1
--- /dev/null
+++ b/internal/scheduler/record.go
@@ -0,0 +1,144 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/kvstore"
+)
+
+// Keys of the store. Entries write below Intake, the leader below Records.
+const (
+	KeyLeader  = "masticcart/leader"
+	Intake     = "masticcart/in/"
+	JobKeys    = Intake + "jobs/"
+	CancelKeys = Intake + "cancels/"
+	AgentKeys  = Intake + "agents/"
+	Records    = "masticcart/records/"
+)
+
+// JobKey returns the key of an accepted job.
+func JobKey(id string) string { return JobKeys + id }
+
+// CancelKey returns the key that cancels a job.
+func CancelKey(id string) string { return CancelKeys + id }
+
+// AgentKey returns the key under which an agent registers.
+func AgentKey(node string) string { return AgentKeys + node }
+
+// RecordKey returns the key of a job's progress.
+func RecordKey(id string) string { return Records + id }
+
+// Agent is the registration of an agent.
+type Agent struct {
+	Node    string `json:"node"`
+	Address string `json:"address"` // of its RPC listener
+}
+
+// Record is the progress of a job as it is kept in the store.
+type Record struct {
+	State   batch.State `json:"state"`
+	Started bool        `json:"started,omitempty"`
+	// FinishedMS is the time of day in Unix milliseconds at which the state became final.
+	FinishedMS int64 `json:"finished,omitempty"`
+	// Next is the first occurrence that has not been due, Ended the number of those that are done.
+	Next        int                `json:"next,omitempty"`
+	Ended       int                `json:"ended,omitempty"`
+	Occurrences []recordOccurrence `json:"occ,omitempty"`
+}
+
+type recordOccurrence struct {
+	Number int          `json:"k"`
+	Steps  []recordStep `json:"steps"`
+}
+
+type recordStep struct {
+	GangFails int          `json:"gf,omitempty"`
+	FailedRun int          `json:"fr,omitempty"`
+	Tasks     []recordTask `json:"t"`
+}
+
+type recordTask struct {
+	Done       bool   `json:"d,omitempty"`
+	Run        int    `json:"r,omitempty"`
+	Fails      int    `json:"f,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+	// Node, ID and Born name the worker to which the run was assigned.
+	Node string `json:"n,omitempty"`
+	ID   string `json:"i,omitempty"`
+	Born int64  `json:"b,omitempty"`
+}
+
+// record returns the progress of a job as bytes.
+func (j *job) record() ([]byte, error) {
+	r := Record{State: j.state, Started: j.started, Next: j.next, Ended: j.ended}
+	if j.state.Final() {
+		r.FinishedMS = j.finishedAt.UnixMilli()
+	}
+	for number := range j.next {
+		o := j.occurrences[number]
+		if o == nil {
+			continue
+		}
+		ro := recordOccurrence{Number: number}
+		for _, s := range o.steps {
+			rs := recordStep{GangFails: s.gangFails, FailedRun: s.failedRun}
+			for _, t := range s.tasks {
+				rt := recordTask{Done: t.phase == done, Run: t.run, Fails: t.fails, Checkpoint: t.checkpoint}
+				if t.active() {
+					rt.Node, rt.ID, rt.Born = t.node, t.life.ID, t.life.Born
+				}
+				rs.Tasks = append(rs.Tasks, rt)
+			}
+			ro.Steps = append(ro.Steps, rs)
+		}
+		r.Occurrences = append(r.Occurrences, ro)
+	}
+	return json.Marshal(r)
+}
+
+// restore sets the progress of a job from its record.
+func (j *job) restore(data []byte, revision kvstore.Revision, now time.Duration) error {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return fmt.Errorf("record of job %s: %w", j.ID, err)
+	}
+	j.revision, j.state, j.started, j.next, j.ended = revision, r.State, r.Started, r.Next, r.Ended
+	if r.FinishedMS != 0 {
+		j.finishedAt = time.UnixMilli(r.FinishedMS)
+	}
+	for _, ro := range r.Occurrences {
+		o := j.open(ro.Number)
+		if len(ro.Steps) != len(o.steps) {
+			return fmt.Errorf("record of job %s: %d steps, the job has %d", j.ID, len(ro.Steps), len(o.steps))
+		}
+		for i, rs := range ro.Steps {
+			s := o.steps[i]
+			if len(rs.Tasks) != len(s.tasks) {
+				return fmt.Errorf("record of job %s: step %d has %d tasks, want %d", j.ID, i, len(rs.Tasks), len(s.tasks))
+			}
+			s.gangFails, s.failedRun = rs.GangFails, rs.FailedRun
+			for n, rt := range rs.Tasks {
+				s.tasks[n].restore(rt, now)
+			}
+			if s.open == 0 {
+				o.open--
+			}
+		}
+	}
+	return nil
+}
+
+func (t *task) restore(r recordTask, now time.Duration) {
+	t.run, t.fails, t.checkpoint = r.Run, r.Fails, r.Checkpoint
+	switch {
+	case r.Done:
+		t.phase = done
+		t.step.open--
+	case r.Node != "":
+		t.phase, t.node, t.life = assigned, r.Node, batch.Life{ID: r.ID, Born: r.Born}
+		t.assignedAt, t.startedAt, t.percentAt = now, now, now
+	}
+}
--- /dev/null
+++ b/internal/scheduler/session.go
@@ -0,0 +1,226 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/boottime"
+	"masticcart.example/masticcart/internal/relay"
+	"masticcart.example/masticcart/internal/rpc"
+)
+
+const (
+	// dialTimeout bounds a connection to an agent in another region.
+	dialTimeout = 700 * time.Millisecond
+	// redialPause follows a failed connection; it doubles up to redialPauseMax.
+	redialPause    = 100 * time.Millisecond
+	redialPauseMax = time.Second
+	// syncWait is how long an agent waits for an end before it answers. Leases are extended as often.
+	syncWait = 800 * time.Millisecond
+	// syncSlack is what the answer may take beyond the wait before the connection is taken as dead.
+	syncSlack = 1200 * time.Millisecond
+	// orderTimeout bounds one order, between regions included.
+	orderTimeout = 700 * time.Millisecond
+	// orderQueue bounds the orders that wait for one agent.
+	orderQueue = 4096
+	// ordersAtOnce bounds the orders in progress with one agent.
+	ordersAtOnce = 16
+)
+
+// session is the connection of the leader to one agent.
+type session struct {
+	run     *termRun
+	node    string
+	orders  chan Order
+	running bool
+
+	mu      sync.Mutex
+	address string
+	conn    *rpc.Conn
+}
+
+// register takes the address of an agent. The mutex of the run is held.
+func (t *termRun) register(a Agent) {
+	s := t.sessions[a.Node]
+	if s == nil {
+		s = &session{run: t, node: a.Node, orders: make(chan Order, orderQueue)}
+		t.sessions[a.Node] = s
+		t.core.worker(a.Node, boottime.Now())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.address != a.Address {
+		klog.InfoS("Agent registered", "node", a.Node, "address", a.Address, "before", s.address)
+		s.address = a.Address
+		if s.conn != nil {
+			s.conn.Close()
+		}
+	}
+}
+
+// startSessions starts the sessions of agents that have registered since.
+func (t *termRun) startSessions(ctx context.Context, group *sync.WaitGroup) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.sessions {
+		if !s.running {
+			s.running = true
+			group.Go(func() { s.serve(ctx) })
+			for range ordersAtOnce {
+				group.Go(func() { s.send(ctx) })
+			}
+		}
+	}
+}
+
+// offer queues an order. It returns false if too many wait.
+func (s *session) offer(o Order) bool {
+	select {
+	case s.orders <- o:
+		return true
+	default:
+		return false
+	}
+}
+
+// serve keeps a connection and asks for reports on it.
+func (s *session) serve(ctx context.Context) {
+	wait := redialPause
+	for ctx.Err() == nil {
+		conn, err := s.dial(ctx)
+		if err != nil {
+			klog.V(1).InfoS("Agent not reached", "node", s.node, "err", err)
+			pause(ctx, wait)
+			wait = min(2*wait, redialPauseMax)
+			continue
+		}
+		wait = redialPause
+		klog.InfoS("Agent connected", "node", s.node, "address", conn.Remote())
+		err = s.follow(ctx, conn)
+		s.mu.Lock()
+		s.conn = nil
+		s.mu.Unlock()
+		conn.Close()
+		if ctx.Err() == nil {
+			klog.InfoS("Agent disconnected", "node", s.node, "err", err)
+		}
+	}
+}
+
+func (s *session) dial(ctx context.Context) (*rpc.Conn, error) {
+	s.mu.Lock()
+	address := s.address
+	s.mu.Unlock()
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := rpc.Dial(dialCtx, address, nil, nil, s.run.service.meter)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn = conn
+	return conn, nil
+}
+
+// follow asks for one report after the other until the connection fails.
+func (s *session) follow(ctx context.Context, conn *rpc.Conn) error {
+	problem := ""
+	for ctx.Err() == nil {
+		r, err := s.sync(ctx, conn)
+		if err != nil {
+			return err
+		}
+		if r.Problem != problem {
+			klog.InfoS("Worker's answer changed", "node", s.node, "problem", r.Problem, "before", problem)
+			problem = r.Problem
+		}
+		if r.Problem != "" {
+			pause(ctx, redialPause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *session) sync(ctx context.Context, conn *rpc.Conn) (*relay.SyncResponse, error) {
+	t := s.run
+	asked := boottime.Now()
+	t.mu.Lock()
+	life, sequence, forget := t.core.Question(s.node, asked)
+	request := relay.SyncRequest{Term: t.term.Number, Fence: t.term.Number, Life: life, Sequence: sequence, Forget: forget}
+	if t.term.Held() {
+		if until, ok := t.core.Grant(s.node, life); ok {
+			request.LeaseUntilMS, request.WaitMS = until, syncWait.Milliseconds()
+		}
+	}
+	t.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMS)*time.Millisecond+syncSlack)
+	defer cancel()
+	var response relay.SyncResponse
+	if err := conn.Call(callCtx, relay.MethodSync, request, &response); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.Report(Report{Node: s.node, Asked: asked, Heard: boottime.Now(), Worker: response.Worker, Left: response.Left,
+		Runs: response.Runs}, time.Now())
+	if t.core.changed || len(t.core.outbox) > 0 {
+		t.poke()
+	}
+	return &response, nil
+}
+
+// send carries out orders.
+func (s *session) send(ctx context.Context) {
+	for {
+		select {
+		case o := <-s.orders:
+			started := time.Now()
+			v, problem := s.carryOut(ctx, o)
+			s.run.service.metrics.order(o.Kind, v, time.Since(started))
+			s.run.answered(o, v, problem)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *session) carryOut(ctx context.Context, o Order) (batch.Verdict, string) {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	if conn == nil {
+		return batch.Refused, "agent not connected"
+	}
+	t := s.run
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var response relay.OrderResponse
+	var err error
+	if o.Kind == OrderStop {
+		err = conn.Call(ctx, relay.MethodStop, relay.StopRequest{Term: t.term.Number, Fence: t.term.Number, Life: o.Life,
+			Task: o.Task, Run: o.Run}, &response)
+	} else {
+		t.mu.Lock()
+		until, ok := t.core.Grant(s.node, o.Life)
+		ok = ok && t.term.Held()
+		t.mu.Unlock()
+		if !ok {
+			return batch.Refused, "no lease to grant"
+		}
+		err = conn.Call(ctx, relay.MethodStart, relay.StartRequest{Term: t.term.Number, Fence: t.term.Number, Life: o.Life,
+			Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, LeaseUntilMS: until}, &response)
+	}
+	if errors.Is(err, rpc.ErrOverloaded) {
+		return batch.Refused, err.Error()
+	}
+	if err != nil {
+		return batch.Unknown, err.Error()
+	}
+	return response.Verdict, response.Problem
+}
--- /dev/null
+++ b/internal/scheduler/task.go
@@ -0,0 +1,159 @@
+package scheduler
+
+import (
+	"time"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/kvstore"
+)
+
+// phase is where a task stands.
+type phase uint8
+
+const (
+	waiting  phase = iota
+	assigned       // to a worker; the order to start follows the record of the assignment
+	stopping       // ordered to stop; its room is taken until the end is certain
+	done
+)
+
+// task is one task of a job. The fields from ordered on are not recorded.
+type task struct {
+	id         batch.TaskID
+	step       *stepRun
+	phase      phase
+	run        int    // number of the latest run; runs start at 1
+	node       string // the worker's agent
+	life       batch.Life
+	fails      int
+	checkpoint string
+
+	ordered     bool // this leader has sent the order to start
+	doubtful    bool // an order to start was not answered and may still be carried out
+	confirmed   bool // the worker has said that it has the run
+	confirmedAt time.Duration
+	assignedAt  time.Duration
+	startedAt   time.Duration
+	retryAt     time.Duration // no start before
+	percent     int
+	percentAt   time.Duration // when percent changed last
+	startPct    int           // the first percentage seen of this run
+	stopAt      time.Duration // when the last order to stop was sent
+	stopSettled time.Duration // when the worker answered it; zero before
+	missing     int           // reports in a row that lack a confirmed run
+	failedOn    map[string]bool
+	reason      string // why it is being stopped
+}
+
+// active reports whether the task occupies its worker.
+func (t *task) active() bool { return t.phase == assigned || t.phase == stopping }
+
+// stepRun is a step of one occurrence.
+type stepRun struct {
+	occurrence *occurrence
+	index      int
+	spec       *batch.Step
+	tasks      []*task
+	open       int // tasks that are not done
+	gangFails  int
+	failedRun  int // the last run of a gang that was counted as failed
+}
+
+func (s *stepRun) job() *job { return s.occurrence.job }
+
+// ready reports whether all steps before have ended.
+func (s *stepRun) ready() bool {
+	for _, a := range s.spec.After {
+		if s.occurrence.steps[a].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// maxRun returns the highest run number in the step.
+func (s *stepRun) maxRun() int {
+	n := 0
+	for _, t := range s.tasks {
+		n = max(n, t.run)
+	}
+	return n
+}
+
+// idle reports whether no task of the step occupies a worker.
+func (s *stepRun) idle() bool {
+	for _, t := range s.tasks {
+		if t.active() {
+			return false
+		}
+	}
+	return true
+}
+
+// occurrence is one run through the steps of a job.
+type occurrence struct {
+	job    *job
+	number int
+	steps  []*stepRun
+	open   int // steps with tasks that are not done
+}
+
+// job is an accepted job that has not been forgotten.
+type job struct {
+	batch.Job
+	state       batch.State
+	started     bool // some task has been started
+	occurrences map[int]*occurrence
+	next        int // the first occurrence that has not been due
+	ended       int // occurrences that are done
+	finishedAt  time.Time
+	seenAt      time.Duration // when this leader learned of the job
+	age         time.Duration // how old it was then, by the time of day
+
+	revision kvstore.Revision // of the record; zero: not recorded yet
+	dirty    bool
+	writing  bool
+	orders   []Order // to be sent once the record is written
+}
+
+func newJob(b batch.Job, now time.Duration, wall time.Time) *job {
+	return &job{Job: b, state: batch.Queued, occurrences: map[int]*occurrence{}, seenAt: now,
+		age: max(0, wall.Sub(b.AcceptedAt))}
+}
+
+// waited returns how long ago the job was accepted.
+func (j *job) waited(now time.Duration) time.Duration { return j.age + now - j.seenAt }
+
+// open makes the tasks of an occurrence.
+func (j *job) open(number int) *occurrence {
+	o := &occurrence{job: j, number: number, open: len(j.Steps)}
+	for i := range j.Steps {
+		s := &stepRun{occurrence: o, index: i, spec: &j.Steps[i], open: j.Steps[i].Count}
+		for n := range j.Steps[i].Count {
+			s.tasks = append(s.tasks, &task{id: batch.TaskID{Job: j.ID, Occurrence: number, Step: i, Index: n}, step: s})
+		}
+		o.steps = append(o.steps, s)
+	}
+	j.occurrences[number] = o
+	return o
+}
+
+// find returns the task of a name, or nil.
+func (j *job) find(id batch.TaskID) *task {
+	o := j.occurrences[id.Occurrence]
+	if o == nil || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+		return nil
+	}
+	return o.steps[id.Step].tasks[id.Index]
+}
+
+// each calls f for all tasks of the open occurrences.
+func (j *job) each(f func(*task)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				f(t)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/worker.go
@@ -0,0 +1,180 @@
+package scheduler
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
+)
+
+// worker is a worker as its agent reports it.
+type worker struct {
+	node  string
+	info  *batch.Worker // nil until the agent has described it
+	tasks map[*task]struct{}
+	// expires is when every lease that may have been granted to the present life has ended.
+	expires time.Duration
+	clockMS int64         // the worker's clock in the last report
+	clockAt time.Duration // when that report came
+	heard   bool          // by this leader
+	left    bool
+	seenEnd int64 // the last end that was processed
+	// forgetEnd is the last end that is recorded, so that the worker may forget it.
+	forgetEnd int64
+	asked     time.Duration // when the question of the last report was sent
+	// strayStops bounds the orders to stop runs that nobody wants.
+	strayStops map[string]time.Duration
+	failures   int           // failed ends in a row, over different jobs
+	failedJob  string        // the job of the last of them
+	avoidUntil time.Duration // quarantine
+	slowness   float64       // how many times as long as expected the worker takes; 1 is usual
+}
+
+func (c *Core) worker(node string, now time.Duration) *worker {
+	w := c.workers[node]
+	if w == nil {
+		w = &worker{node: node, tasks: map[*task]struct{}{}, expires: c.started + c.config.TakeoverWait,
+			strayStops: map[string]time.Duration{}, slowness: 1}
+		w.expires = max(w.expires, now)
+		c.workers[node] = w
+	}
+	return w
+}
+
+func (w *worker) life() batch.Life {
+	if w.info == nil {
+		return batch.Life{}
+	}
+	return w.info.Life
+}
+
+// used returns what the tasks of the worker take, those that are being stopped included.
+func (w *worker) used() batch.Resources {
+	var r batch.Resources
+	for t := range w.tasks {
+		r = r.Plus(t.step.spec.Reserved())
+	}
+	return r
+}
+
+// usable reports whether new tasks may be placed on the worker.
+func (w *worker) usable(now time.Duration) bool {
+	return w.info != nil && !w.info.Leaving && !w.left && w.heard && now-w.clockAt <= freshFor && now >= w.avoidUntil
+}
+
+// Grant returns until when, on the clock of the worker's life, its lease may be extended, and takes note of it. It
+// returns false if the worker's clock is not known.
+func (c *Core) Grant(node string, life batch.Life) (int64, bool) {
+	w := c.workers[node]
+	if w == nil || !w.heard || w.info == nil || w.life() != life {
+		return 0, false
+	}
+	span := time.Duration(float64(c.config.Lease) * clockTolerance)
+	w.expires = max(w.expires, w.clockAt+span+leaseMargin)
+	return w.clockMS + c.config.Lease.Milliseconds(), true
+}
+
+// Question returns what the leader asks an agent next: the life that it knows, the last announcement, and the end up to
+// which the worker may forget.
+func (c *Core) Question(node string, now time.Duration) (life batch.Life, sequence, forget int64) {
+	w := c.worker(node, now)
+	if w.info != nil {
+		return w.info.Life, w.info.Sequence, w.forgetEnd
+	}
+	for t := range w.tasks { // recorded by a leader before
+		return t.life, 0, 0
+	}
+	return batch.Life{}, 0, 0
+}
+
+// Report takes the answer of an agent.
+func (c *Core) Report(r Report, wall time.Time) {
+	w := c.worker(r.Node, r.Heard)
+	if r.Worker != nil {
+		c.describe(w, r.Worker, r.Heard, wall)
+	}
+	if r.Left && !w.left && w.info != nil {
+		w.left = true
+		c.changed = true
+		klog.InfoS("Worker has left", "node", w.node, "worker", w.info.Life, "tasks", len(w.tasks))
+		c.loseTasks(w, "worker left", r.Heard, wall)
+	}
+	if r.Runs == nil {
+		return
+	}
+	if w.info == nil || r.Runs.Life.Born != w.info.Life.Born {
+		return // of another life than the one described
+	}
+	if r.Asked < w.asked {
+		return // overtaken
+	}
+	if !w.heard {
+		klog.InfoS("Worker reached", "node", w.node, "worker", w.info.Life, "running", len(r.Runs.Running),
+			"ended", len(r.Runs.Ended))
+		c.changed = true
+	}
+	w.heard, w.asked, w.clockMS, w.clockAt = true, r.Asked, r.Runs.ClockMS, r.Heard
+	c.ends(w, r.Runs.Ended, r.Heard, wall)
+	c.running(w, r, wall)
+}
+
+// describe takes what a worker says of itself. With another life, all that ran on the one before has ended.
+func (c *Core) describe(w *worker, info *batch.Worker, now time.Duration, wall time.Time) {
+	before := w.info
+	if before != nil && (info.Life.Born < before.Life.Born ||
+		info.Life == before.Life && info.Sequence < before.Sequence) {
+		return
+	}
+	w.info = info
+	if before == nil || before.Life != info.Life {
+		klog.InfoS("Worker described", "node", w.node, "worker", info.Life, "service", info.Service, "rack", info.Rack,
+			"capacity", info.Capacity, "leaving", info.Leaving)
+		w.heard, w.left, w.seenEnd, w.forgetEnd, w.clockMS, w.clockAt = false, false, 0, 0, 0, 0
+		w.failures, w.avoidUntil, w.slowness = 0, 0, 1
+		c.changed = true
+		c.loseOthers(w, "worker started again", now, wall)
+	} else if before.Leaving != info.Leaving {
+		klog.InfoS("Worker leaving", "node", w.node, "worker", info.Life, "leaving", info.Leaving,
+			"leavingInMs", info.LeavingInMS, "tasks", len(w.tasks))
+		c.changed = true
+	}
+}
+
+// check ends the tasks of a worker whose leases have all expired, and repeats orders without effect.
+func (c *Core) check(w *worker, now time.Duration, wall time.Time) {
+	if now > w.expires && len(w.tasks) > 0 {
+		klog.InfoS("Worker lost", "node", w.node, "worker", w.life(), "tasks", len(w.tasks),
+			"silentMs", (now - w.clockAt).Milliseconds(), "heard", w.heard)
+		c.loseTasks(w, "lease expired", now, wall)
+	}
+	for t := range w.tasks {
+		if t.phase == stopping && now-t.stopAt >= stopRepeat && now-w.clockAt <= freshFor {
+			c.sendStop(t, now)
+		}
+	}
+}
+
+// loseTasks takes all tasks of a worker as ended without an outcome.
+func (c *Core) loseTasks(w *worker, reason string, now time.Duration, wall time.Time) {
+	for t := range w.tasks {
+		c.lose(t, reason, now, wall)
+	}
+}
+
+// loseOthers is loseTasks for the tasks of lives other than the present one.
+func (c *Core) loseOthers(w *worker, reason string, now time.Duration, wall time.Time) {
+	for t := range w.tasks {
+		if t.life != w.info.Life {
+			c.lose(t, reason, now, wall)
+		}
+	}
+}
+
+func (c *Core) lose(t *task, reason string, now time.Duration, wall time.Time) {
+	c.stats.Lost++
+	klog.InfoS("Run lost", "task", t.id, "run", t.run, "node", t.node, "worker", t.life, "reason", reason,
+		"percent", t.percent, "checkpoint", t.checkpoint)
+	c.release(t, now, wall)
+	c.breakGang(t, "member lost", now)
+}
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -39,6 +39,7 @@
 	handle(s, kvstore.PathRange, s.rangeKeys)
 	handle(s, kvstore.PathWatch, s.watch)
 	handleWrite(s, kvstore.PathPut, s.put)
+	handleWrite(s, kvstore.PathTxn, s.txn)
 	handleWrite(s, kvstore.PathDelete, s.delete)
 	handleWrite(s, kvstore.PathGrant, s.grant)
 	handleWrite(s, kvstore.PathKeepAlive, func(ctx context.Context, r kvstore.LeaseRequest) (none, error) {
@@ -73,6 +74,11 @@
 	return kvstore.PutResponse{Revision: revision}, err
 }
 
+func (s *Server) txn(ctx context.Context, t kvstore.Txn) (kvstore.PutResponse, error) {
+	revision, err := s.store.Txn(ctx, t)
+	return kvstore.PutResponse{Revision: revision}, err
+}
+
 func (s *Server) delete(ctx context.Context, r kvstore.DeleteRequest) (none, error) {
 	return none{}, s.store.Delete(ctx, r.Key, r.Expect)
 }
@@ -143,5 +149,10 @@
 	case errors.Is(err, kvstore.ErrTooLarge):
 		status = kvstore.StatusTooLarge
 	}
-	process.WriteJSON(w, status, kvstore.ErrorResponse{Reason: err.Error()})
+	response := kvstore.ErrorResponse{Reason: err.Error()}
+	var conflict *kvstore.ConflictError
+	if errors.As(err, &conflict) {
+		response.Current = conflict.Current
+	}
+	process.WriteJSON(w, status, response)
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -40,7 +40,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "masticcart",
 		Tags:           map[string]string{"process": s.Name, "region": s.Region, "cell": s.Cell},
-		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		CachedReporter: reporter, Separator: prometheus.DefaultSeparator, OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{Scope: scope, page: reporter.HTTPHandler(), close: closer}
 }
