--- a/internal/faulttest/platform_test.go
+++ b/internal/faulttest/platform_test.go
@@ -131,6 +131,16 @@
 	return err
 }
 
+// Txn implements kvstore.Store. The code under test here writes single keys only.
+func (c *kvClient) Txn(ctx context.Context, t kvstore.Txn) (kvstore.Revision, error) {
+	var rev kvstore.Revision
+	err := c.change(func() (err error) {
+		rev, err = c.mem.Txn(ctx, t)
+		return err
+	})
+	return rev, err
+}
+
 // Put implements kvstore.Store.
 func (c *kvClient) Put(ctx context.Context, key string, value []byte, expect kvstore.Revision, lease kvstore.LeaseID) (kvstore.Revision, error) {
 	var rev kvstore.Revision
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -2,7 +2,13 @@
 // the worker's runs to the leader. It decides nothing, keeps nothing that has to last, and obeys the newest term only.
 package relay
 
-import "masticcart.example/masticcart/internal/batch"
+import (
+	"errors"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"masticcart.example/masticcart/internal/batch"
+)
 
 // Methods that an agent serves to the leader.
 const (
@@ -14,6 +20,12 @@
 // codeSuperseded is the JSON-RPC error of a call of an old term.
 const codeSuperseded = -32010
 
+// Superseded reports whether an agent refused a call because it obeys a later term.
+func Superseded(err error) bool {
+	var remote *jsonrpc2.Error
+	return errors.As(err, &remote) && remote.Code == codeSuperseded
+}
+
 // SyncRequest asks for the worker's runs and extends the lease of what runs.
 type SyncRequest struct {
 	Term  int64 `json:"term"`
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -144,7 +144,7 @@
 // finish moves a job to a final state and stops what runs.
 func (c *Core) finish(j *job, state batch.State, now time.Duration, wall time.Time) {
 	klog.InfoS("Job finished", "job", j.ID, "state", state, "before", j.state, "queue", j.Queue.Name,
-		"waitedMs", j.waited(now).Milliseconds())
+		"waitedMs", j.waited(now).Milliseconds(), "objectiveMs", c.objective(j).Milliseconds(), "priority", c.queue(j).Priority)
 	j.state, j.finishedAt, j.dirty = state, wall, true
 	j.each(func(t *task) {
 		switch t.phase {
--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
 )
 
 // durations holds, for each queue, how long tasks take compared with their estimates.
@@ -41,7 +43,12 @@
 
 // expected returns how long a task takes on a sound worker near its data.
 func (c *Core) expected(s *stepRun) time.Duration {
-	return time.Duration(float64(s.spec.Estimate) * c.learned.of(s.job().Queue.Name))
+	return c.estimate(s.job(), s.spec)
+}
+
+// estimate is expected for a step of a job.
+func (c *Core) estimate(j *job, s *batch.Step) time.Duration {
+	return time.Duration(float64(s.Estimate) * c.learned.of(j.Queue.Name))
 }
 
 // remaining returns how long a running task still takes.
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -158,7 +158,7 @@
 }
 
 // write carries out batches until ctx ends or leadership is lost.
-func (t *termRun) write(ctx context.Context, batches <-chan *Batch, failed chan<- error) {
+func (t *termRun) write(ctx context.Context, batches <-chan *Batch) {
 	for {
 		select {
 		case b := <-batches:
@@ -166,7 +166,7 @@
 			revision, err := t.commit(ctx, b)
 			if err != nil {
 				if ctx.Err() == nil {
-					failed <- err
+					t.depose(err)
 				}
 				return
 			}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -79,17 +80,25 @@
 	return append(us, u)
 }
 
-// deadline returns when the job of a step has to be done to meet its objective.
+// deadline returns when an occurrence has to be done to meet the objective of its job.
 func (c *Core) deadline(s *stepRun, now time.Duration) time.Duration {
-	j := s.job()
+	return now - s.occurrence.waited(now) + c.objective(s.job())
+}
+
+// objective returns the time in which a job, or each occurrence of it, should be done.
+func (c *Core) objective(j *job) time.Duration {
 	q := c.queue(j)
-	whole := time.Duration(0)
-	for _, first := range s.occurrence.steps {
-		if len(first.spec.After) == 0 {
-			whole = max(whole, c.chain(first))
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		start := time.Duration(0)
+		for _, a := range j.Steps[i].After {
+			start = max(start, ends[a])
 		}
+		ends[i] = start + c.estimate(j, &j.Steps[i])
+		longest = max(longest, ends[i])
 	}
-	return now - j.waited(now) + time.Duration(float64(whole)*q.Slack) + q.Target
+	return time.Duration(float64(longest)*q.Slack) + q.Target
 }
 
 // chain returns the time of the longest chain of steps that begins with a step.
@@ -125,7 +134,7 @@
 			}
 		}
 		if u.tasks = rest; len(rest) > 0 {
-			p.await(u, 1)
+			p.await(u, len(rest))
 		}
 		return
 	}
@@ -263,7 +272,7 @@
 		j.orders = append(j.orders, c.startOrder(t))
 	}
 	j.dirty = true
-	delete(c.claims, s)
+	c.useClaim(s, nodes)
 }
 
 // gangCheckpoint returns the checkpoint of the member that saved last. Checkpoints of one step are of equal length
@@ -278,23 +287,38 @@
 	return best
 }
 
-// await claims room by preemption if the unit may do so, or keeps room that becomes free.
+// await claims room for n tasks by preemption if the unit may do so and cannot wait, or keeps room that becomes free.
 func (p *planner) await(u unit, n int) {
-	if cl := p.core.claims[u.step]; cl != nil {
+	cl := p.core.claims[u.step]
+	if cl != nil {
 		p.keepClaim(cl)
-		return
+		n -= len(cl.nodes)
 	}
-	if cl := p.preempt(u, n); cl != nil {
-		p.keepClaim(cl)
+	if n <= 0 {
 		return
 	}
-	if p.kept < reservations {
-		p.reserve(u, n)
+	at, nodes := p.forecast(u, n)
+	if u.queue.Priority == 0 && (nodes == nil || at > u.latest-preemptMargin) {
+		if more := p.preempt(u, n); more != nil {
+			p.keepClaim(more)
+			p.core.addClaim(u.step, more)
+			return
+		}
+	}
+	if nodes != nil && p.kept < reservations {
+		p.reserve(at, nodes)
 	}
 }
 
-// reserve finds the earliest time at which the unit fits as running tasks end, and keeps the workers for it from then.
-func (p *planner) reserve(u unit, n int) {
+// preemptMargin is left between the forecast of room and the latest start: forecasts are rough, and stopping takes time.
+const preemptMargin = 300 * time.Millisecond
+
+// forecast returns the earliest time at which n tasks of the unit, or one task of a step without a gang, fit as running
+// tasks end, and the workers.
+func (p *planner) forecast(u unit, n int) (time.Duration, []string) {
+	if !u.step.spec.Gang {
+		n = 1
+	}
 	type release struct {
 		at   time.Duration
 		node string
@@ -309,23 +333,23 @@
 			releases = append(releases, release{p.now + p.core.remaining(t, p.now), w.node, t.step.spec.Reserved()})
 		}
 	}
-	slices.SortFunc(releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
-	free := make(map[string]batch.Resources, len(p.free))
-	for node, r := range p.free {
-		free[node] = r
-	}
+	slices.SortFunc(releases, func(a, b release) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.node, b.node)) })
+	free := maps.Clone(p.free)
 	for _, r := range releases {
 		free[r.node] = free[r.node].Plus(r.r)
-		nodes := p.chooseFrom(u, n, p.candidates(u, free, false))
-		if nodes == nil {
-			continue
+		if nodes := p.chooseFrom(u, n, p.candidates(u, free, false)); nodes != nil {
+			return r.at, nodes
 		}
-		p.kept++
-		for _, node := range nodes {
-			if at, ok := p.reserved[node]; !ok || r.at < at {
-				p.reserved[node] = r.at
-			}
+	}
+	return 0, nil
+}
+
+// reserve keeps workers for a unit from a time on.
+func (p *planner) reserve(from time.Duration, nodes []string) {
+	p.kept++
+	for _, node := range nodes {
+		if at, ok := p.reserved[node]; !ok || from < at {
+			p.reserved[node] = from
 		}
-		return
 	}
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -28,6 +28,34 @@
 	}
 }
 
+// addClaim adds to the room that is being freed for a step.
+func (c *Core) addClaim(s *stepRun, more *claim) {
+	if cl := c.claims[s]; cl != nil {
+		cl.nodes = append(cl.nodes, more.nodes...)
+		cl.until = more.until
+		return
+	}
+	c.claims[s] = more
+}
+
+// useClaim takes tasks that were assigned from the claim of their step.
+func (c *Core) useClaim(s *stepRun, nodes []string) {
+	cl := c.claims[s]
+	if cl == nil {
+		return
+	}
+	for _, node := range nodes {
+		if i := slices.Index(cl.nodes, node); i >= 0 {
+			cl.nodes = slices.Delete(cl.nodes, i, i+1)
+		} else if len(cl.nodes) > 0 {
+			cl.nodes = cl.nodes[:len(cl.nodes)-1]
+		}
+	}
+	if len(cl.nodes) == 0 {
+		delete(c.claims, s)
+	}
+}
+
 // keepClaim takes the room of a claim from what others may use.
 func (p *planner) keepClaim(cl *claim) {
 	for _, node := range cl.nodes {
@@ -37,12 +65,9 @@
 	}
 }
 
-// preempt stops less important tasks so that the unit fits, if it is of the first priority. It chooses the workers on
-// which the least work is lost.
+// preempt stops less important tasks so that n tasks of the unit fit, or as many as possible if they start
+// independently. It chooses the workers on which the least work is lost.
 func (p *planner) preempt(u unit, n int) *claim {
-	if u.queue.Priority != 0 {
-		return nil
-	}
 	s := u.step
 	need := s.spec.Reserved()
 	var best *eviction
@@ -55,7 +80,6 @@
 		return nil
 	}
 	cl := &claim{until: p.now + claimFor, nodes: best.nodes, need: need}
-	p.core.claims[s] = cl
 	klog.InfoS("Preempting", "job", s.job().ID, "step", s.index, "tasks", n, "nodes", best.nodes,
 		"victims", len(best.victims), "cost", best.cost)
 	for _, v := range best.victims {
@@ -99,12 +123,12 @@
 	for _, c := range group {
 		slots = append(slots, p.slots(u, c, need, n)...)
 	}
-	if len(slots) < n {
+	if u.step.spec.Gang && len(slots) < n || len(slots) == 0 {
 		return nil
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.cost, b.cost) })
 	e := &eviction{}
-	for _, sl := range slots[:n] {
+	for _, sl := range slots[:min(n, len(slots))] {
 		e.nodes = append(e.nodes, sl.node)
 		e.victims = append(e.victims, sl.victims...)
 		e.cost += sl.cost
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -43,6 +43,7 @@
 	service *Service
 	term    *election.Term
 	wake    chan struct{}
+	failed  chan error // the reason to give the leadership up
 
 	mu       sync.Mutex // protects what follows
 	core     *Core
@@ -51,8 +52,9 @@
 
 // Lead runs the scheduler until ctx ends or the term is lost.
 func (s *Service) Lead(ctx context.Context, term *election.Term) error {
-	t := &termRun{service: s, term: term, wake: make(chan struct{}, 1), sessions: map[string]*session{},
-		core: NewCore(s.config, boottime.Now())}
+	t := &termRun{service: s, term: term, wake: make(chan struct{}, 1), failed: make(chan error, 1),
+		sessions: map[string]*session{},
+		core:     NewCore(s.config, boottime.Now())}
 	revision, err := t.load(ctx)
 	if err != nil {
 		return err
@@ -65,10 +67,9 @@
 	defer cancel()
 	group.Go(func() { t.watch(ctx, revision) })
 	writes := make(chan *Batch)
-	failed := make(chan error, 1)
-	group.Go(func() { t.write(ctx, writes, failed) })
+	group.Go(func() { t.write(ctx, writes) })
 	t.startSessions(ctx, &group)
-	return t.loop(ctx, &group, writes, failed)
+	return t.loop(ctx, &group, writes)
 }
 
 func (s *Service) setTerm(t *termRun) {
@@ -104,6 +105,14 @@
 	return t.core.StateOf(id)
 }
 
+// depose ends the term for a reason.
+func (t *termRun) depose(err error) {
+	select {
+	case t.failed <- err:
+	default:
+	}
+}
+
 // poke makes the main loop look at once.
 func (t *termRun) poke() {
 	select {
@@ -113,7 +122,7 @@
 }
 
 // loop plans, hands batches to the writer and orders to the sessions.
-func (t *termRun) loop(ctx context.Context, group *sync.WaitGroup, writes chan<- *Batch, failed <-chan error) error {
+func (t *termRun) loop(ctx context.Context, group *sync.WaitGroup, writes chan<- *Batch) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -125,7 +134,7 @@
 		if batch != nil {
 			select {
 			case writes <- batch:
-			case err := <-failed:
+			case err := <-t.failed:
 				return err
 			case <-ctx.Done():
 				return nil
@@ -134,7 +143,7 @@
 		select {
 		case <-t.wake:
 		case <-ticker.C:
-		case err := <-failed:
+		case err := <-t.failed:
 			return err
 		case <-ctx.Done():
 			return nil
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
@@ -106,6 +107,10 @@
 		s.conn = nil
 		s.mu.Unlock()
 		conn.Close()
+		if relay.Superseded(err) {
+			s.run.depose(merry.Wrap(errDeposed, merry.AppendMessagef("agent %s: %v", s.node, err)))
+			return
+		}
 		if ctx.Err() == nil {
 			klog.InfoS("Agent disconnected", "node", s.node, "err", err)
 		}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -94,6 +94,7 @@
 type occurrence struct {
 	job    *job
 	number int
+	dueAt  time.Duration // when it became due, or the job was accepted
 	steps  []*stepRun
 	open   int // steps with tasks that are not done
 }
@@ -124,9 +125,15 @@
 // waited returns how long ago the job was accepted.
 func (j *job) waited(now time.Duration) time.Duration { return j.age + now - j.seenAt }
 
+// waited returns how long ago the occurrence became due.
+func (o *occurrence) waited(now time.Duration) time.Duration { return now - o.dueAt }
+
 // open makes the tasks of an occurrence.
 func (j *job) open(number int) *occurrence {
-	o := &occurrence{job: j, number: number, open: len(j.Steps)}
+	o := &occurrence{job: j, number: number, dueAt: j.seenAt - j.age + j.Due(number).Sub(j.AcceptedAt), open: len(j.Steps)}
+	if j.Repeat == 0 {
+		o.dueAt = j.seenAt - j.age
+	}
 	for i := range j.Steps {
 		s := &stepRun{occurrence: o, index: i, spec: &j.Steps[i], open: j.Steps[i].Count}
 		for n := range j.Steps[i].Count {
