--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -137,6 +137,7 @@
 	electCtx, cancel := context.WithCancel(context.Background())
 	p.follow, p.cancel = follow, cancel
 	p.group.Go(func() { p.follower.Run(followCtx) })
+	p.group.Go(func() { p.intake.Run(followCtx) })
 	p.group.Go(func() { p.election.Run(electCtx) })
 	return nil
 }
--- a/internal/hosted/leader.go
+++ b/internal/hosted/leader.go
@@ -8,12 +8,16 @@
 
 	"masticcart.example/masticcart/internal/election"
 	"masticcart.example/masticcart/internal/intake"
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/rpc"
 	"masticcart.example/masticcart/internal/scheduler"
 )
 
-// methodPending is served by every entry; only the leader answers.
-const methodPending = "scheduler.pending"
+// Methods that every entry serves; only the leader answers.
+const (
+	methodPending = "scheduler.pending"
+	methodLearn   = "scheduler.learn"
+)
 
 // leaderCallTimeout bounds a call to the leader, so that a silent connection is replaced in time for the caller.
 const leaderCallTimeout = 500 * time.Millisecond
@@ -32,6 +36,12 @@
 			}
 			return pending, nil
 		}),
+		methodLearn: rpc.Method(func(_ context.Context, _ *rpc.Conn, e kvstore.Entry) (none, error) {
+			if !s.Learn(e) {
+				return none{}, errNoLeader
+			}
+			return none{}, nil
+		}),
 	}
 }
 
@@ -57,18 +67,30 @@
 	if pending, ok := l.scheduler.Pending(); ok {
 		return pending, nil
 	}
+	var pending map[string]int
+	return pending, l.call(ctx, methodPending, none{}, &pending)
+}
+
+// Learn implements intake.Leader.
+func (l *leaderClient) Learn(ctx context.Context, e kvstore.Entry) error {
+	if l.scheduler.Learn(e) {
+		return nil
+	}
+	return l.call(ctx, methodLearn, e, &none{})
+}
+
+func (l *leaderClient) call(ctx context.Context, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
 	defer cancel()
 	conn, err := l.connect(ctx)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var pending map[string]int
-	if err := conn.Call(ctx, methodPending, none{}, &pending); err != nil {
+	if err := conn.Call(ctx, method, args, reply); err != nil {
 		l.drop(conn)
-		return nil, err
+		return err
 	}
-	return pending, nil
+	return nil
 }
 
 // connect returns the connection to the present leader.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -80,6 +80,8 @@
 type Leader interface {
 	// Pending returns the number of jobs of each queue of which no task has started.
 	Pending(ctx context.Context) (map[string]int, error)
+	// Learn tells it of an entry that was stored. It may be lost: the scheduler also watches the store.
+	Learn(ctx context.Context, e kvstore.Entry) error
 }
 
 // Service accepts jobs.
@@ -89,6 +91,7 @@
 	leader   Leader
 	settings Settings
 
+	news      chan kvstore.Entry
 	mu        sync.Mutex
 	pending   map[string]int
 	pendingAt time.Duration
@@ -96,7 +99,32 @@
 
 // New returns the intake of an entry.
 func New(store kvstore.Store, follower *Follower, leader Leader, settings Settings) *Service {
-	return &Service{store: store, follower: follower, leader: leader, settings: settings}
+	return &Service{store: store, follower: follower, leader: leader, settings: settings, news: make(chan kvstore.Entry, newsRing)}
+}
+
+// newsRing bounds the stored entries of which the leader has not been told.
+const newsRing = 64
+
+// Run tells the leader of what this entry has stored, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	for {
+		select {
+		case e := <-s.news:
+			if err := s.leader.Learn(ctx, e); err != nil {
+				klog.V(1).InfoS("Leader not told", "key", e.Key, "err", err)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tell queues an entry for Run. If too many wait, the scheduler's watch brings it.
+func (s *Service) tell(e kvstore.Entry) {
+	select {
+	case s.news <- e:
+	default:
+	}
 }
 
 // Ready returns an error while the entry cannot serve callers.
@@ -206,13 +234,14 @@
 	unclear := false
 	started := time.Now()
 	for {
-		err := s.try(ctx, kvstore.Txn{
+		revision, err := s.try(ctx, kvstore.Txn{
 			Expect: []kvstore.Condition{{Key: key}, a.condition},
 			Puts:   []kvstore.Write{{Key: key, Value: value}},
 		}, a.age)
 		var conflict *kvstore.ConflictError
 		switch {
 		case err == nil:
+			s.tell(kvstore.Entry{Key: key, Value: value, Revision: revision})
 			return Response{Answer: OK, Reason: "stored"}
 		case errors.As(err, &conflict):
 			if found := conflict.Find(key); found.Revision != 0 {
@@ -242,14 +271,13 @@
 }
 
 // try makes one write, unless the store has been silent for long.
-func (s *Service) try(ctx context.Context, txn kvstore.Txn, age time.Duration) error {
+func (s *Service) try(ctx context.Context, txn kvstore.Txn, age time.Duration) (kvstore.Revision, error) {
 	if age > downAfter {
-		return kvstore.ErrUnavailable
+		return 0, kvstore.ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := s.store.Txn(ctx, txn)
-	return err
+	return s.store.Txn(ctx, txn)
 }
 
 func (s *Service) pause(ctx context.Context) {
@@ -386,10 +414,14 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.store.Txn(ctx, kvstore.Txn{
+	value := []byte("{}")
+	revision, err := s.store.Txn(ctx, kvstore.Txn{
 		Expect: []kvstore.Condition{{Key: e.Key, Revision: e.Revision}, {Key: scheduler.CancelKey(id)}},
-		Puts:   []kvstore.Write{{Key: scheduler.CancelKey(id), Value: []byte("{}")}},
+		Puts:   []kvstore.Write{{Key: scheduler.CancelKey(id), Value: value}},
 	})
+	if err == nil {
+		s.tell(kvstore.Entry{Key: scheduler.CancelKey(id), Value: value, Revision: revision})
+	}
 	var conflict *kvstore.ConflictError
 	if errors.As(err, &conflict) && conflict.Find(scheduler.CancelKey(id)).Revision != 0 {
 		return nil // cancelled before
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -61,12 +61,13 @@
 	jobs    map[string]*job
 	order   []*job // open jobs in the order in which they were learned of
 	workers map[string]*worker
-	cancels map[string]bool // cancellations that came before their jobs
-	started time.Duration   // when this leader took over
-	outbox  []Order         // orders that need no record
-	learned durations
+	cancels map[string]bool      // cancellations that came before their jobs
+	started time.Duration        // when this leader took over
+	outbox  []Order              // orders that need no record
+	learned map[string]*duration // by queue
 	claims  map[*stepRun]*claim
-	changed bool // something may be placed that could not before
+	batches []*Batch // taken and not committed, in the order in which they were taken
+	changed bool     // something may be placed that could not before
 	planned time.Duration
 	stats   Stats
 }
@@ -79,7 +80,7 @@
 // NewCore returns a core that knows no jobs and no workers.
 func NewCore(config Config, now time.Duration) *Core {
 	return &Core{config: config, jobs: map[string]*job{}, workers: map[string]*worker{}, cancels: map[string]bool{},
-		claims: map[*stepRun]*claim{}, started: now, catalog: &batch.Catalog{}, learned: durations{}}
+		claims: map[*stepRun]*claim{}, started: now, catalog: &batch.Catalog{}, learned: map[string]*duration{}}
 }
 
 // Stats returns the counts of decisions.
@@ -212,13 +213,13 @@
 	return o
 }
 
-// Take returns the changes to write next, at most limit. Until Committed or Abandon the jobs are left out.
+// Take returns the changes to write next, at most limit, or nil. Several batches may be under way: the jobs of one are
+// left out of the others.
 func (c *Core) Take(limit int) (*Batch, error) {
-	b := &Batch{forget: map[string]int64{}}
+	b := &Batch{forget: map[string]mark{}}
 	all := true
 	for _, j := range c.jobs {
 		if !j.dirty {
-			all = all && !j.writing
 			continue
 		}
 		if j.writing || len(b.Changes) == limit {
@@ -240,12 +241,17 @@
 	if all { // ends of jobs that are left out must not be forgotten yet
 		for _, w := range c.workers {
 			if w.seenEnd > w.forgetEnd {
-				b.forget[w.node] = w.seenEnd
+				b.forget[w.node] = mark{w.life(), w.seenEnd}
 			}
 		}
 	}
+	if len(b.Changes) == 0 && len(b.forget) == 0 {
+		return nil, nil
+	}
+	c.batches = append(c.batches, b)
 	if len(b.Changes) == 0 {
-		c.remember(b)
+		b.committed = true
+		c.remember()
 		return nil, nil
 	}
 	return b, nil
@@ -266,7 +272,8 @@
 		}
 		j.revision = revision
 	}
-	c.remember(b)
+	b.committed = true
+	c.remember()
 	orders := b.orders[:0]
 	for _, o := range b.orders {
 		if t := c.current(o); t != nil && t.phase == assigned {
@@ -277,12 +284,15 @@
 	return orders
 }
 
-// remember lets workers forget the ends that are recorded.
-func (c *Core) remember(b *Batch) {
-	for node, n := range b.forget {
-		if w := c.workers[node]; w != nil && n <= w.seenEnd {
-			w.forgetEnd = max(w.forgetEnd, n)
+// remember lets workers forget the ends that are recorded: those of a batch that is committed, with all before it.
+func (c *Core) remember() {
+	for len(c.batches) > 0 && c.batches[0].committed {
+		for node, m := range c.batches[0].forget {
+			if w := c.workers[node]; w != nil && m.life == w.life() {
+				w.forgetEnd = max(w.forgetEnd, m.end)
+			}
 		}
+		c.batches = c.batches[1:]
 	}
 }
 
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -100,10 +100,7 @@
 		}
 		fails = max(s.gangFails, fails)
 	}
-	if t.failedOn == nil {
-		t.failedOn = map[string]bool{}
-	}
-	t.failedOn[w.node] = true
+	t.avoid(w.node)
 	c.suspect(w, t, now)
 	c.release(t, now, wall)
 	limit := c.queue(j).MaxAttempts
@@ -243,6 +240,9 @@
 		if run.Percent != t.percent {
 			t.percent, t.percentAt = run.Percent, now
 		}
+		if reason := c.straggling(t, now); reason != "" {
+			c.move(w, t, reason, now)
+		}
 	}
 	for t := range w.tasks {
 		if present[t] || t.life != w.info.Life {
--- a/internal/scheduler/fit.go
+++ b/internal/scheduler/fit.go
@@ -15,7 +15,6 @@
 	free    batch.Resources
 	copies  int
 	avoided bool // a task of the step failed there
-	slow    float64
 }
 
 // order by which candidates are filled: sound ones first, then the tightest, so that large blocks stay whole.
@@ -26,9 +25,6 @@
 		}
 		return -1
 	}
-	if c := cmp.Compare(a.slow, b.slow); c != 0 {
-		return c
-	}
 	if c := cmp.Compare(left(a, need), left(b, need)); c != 0 {
 		return c
 	}
--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -8,34 +8,47 @@
 	"masticcart.example/masticcart/internal/batch"
 )
 
-// durations holds, for each queue, how long tasks take compared with their estimates.
-type durations map[string]float64
+// duration is what has been learned of the tasks of a queue.
+type duration struct {
+	ratio float64       // of the time that tasks take to their estimates
+	mean  time.Duration // that tasks take
+}
 
 const (
-	// learnWeight is the weight of one observation in the running mean; about the last ten count.
+	// learnWeight is the weight of one observation in the running means; about the last ten count.
 	learnWeight = 0.1
-	// learnMin and learnMax bound one observation, so that a slow worker does not spoil the mean.
+	// learnMin and learnMax bound one observed ratio, so that a slow worker does not spoil the mean.
 	learnMin = 0.2
 	learnMax = 4.0
 )
 
-func (d durations) of(queue string) float64 {
-	if f, ok := d[queue]; ok {
-		return f
+// duration returns what is known of a queue.
+func (c *Core) duration(queue string) *duration {
+	d := c.learned[queue]
+	if d == nil {
+		d = &duration{ratio: 1}
+		c.learned[queue] = d
 	}
-	return 1
+	return d
 }
 
-// observe learns from a run that ended well and had not been resumed from a checkpoint.
+// observe learns from a run that ended well, near its data, and had not been resumed from a checkpoint.
 func (c *Core) observe(t *task, now time.Duration) {
+	if t.startPct >= 0 && t.startPct <= maxStartPercent {
+		t.took = now - t.startedAt
+	}
 	estimate := t.step.spec.Estimate
-	if estimate <= 0 || !t.confirmed || t.startPct > maxStartPercent {
+	if estimate <= 0 || !t.confirmed || t.startPct > maxStartPercent || t.far {
 		return
 	}
-	ratio := float64(now-t.startedAt) / float64(estimate)
-	ratio = min(max(ratio, learnMin), learnMax)
-	queue := t.step.job().Queue.Name
-	c.learned[queue] = c.learned.of(queue)*(1-learnWeight) + ratio*learnWeight
+	d := c.duration(t.step.job().Queue.Name)
+	took := now - t.startedAt
+	ratio := min(max(float64(took)/float64(estimate), learnMin), learnMax)
+	d.ratio = d.ratio*(1-learnWeight) + ratio*learnWeight
+	if d.mean == 0 {
+		d.mean = took
+	}
+	d.mean = time.Duration(float64(d.mean)*(1-learnWeight) + float64(took)*learnWeight)
 }
 
 // maxStartPercent tells a run from the start from a resumed one.
@@ -48,7 +61,7 @@
 
 // estimate is expected for a step of a job.
 func (c *Core) estimate(j *job, s *batch.Step) time.Duration {
-	return time.Duration(float64(s.Estimate) * c.learned.of(j.Queue.Name))
+	return time.Duration(float64(s.Estimate) * c.duration(j.Queue.Name).ratio)
 }
 
 // remaining returns how long a running task still takes.
@@ -85,16 +98,22 @@
 	if w.failures++; w.failures < suspectAfter {
 		return
 	}
+	c.quarantine(w, "runs fail", now)
+}
+
+// quarantine keeps new tasks from a worker for a while, unless too many are kept out already.
+func (c *Core) quarantine(w *worker, reason string, now time.Duration) {
 	out := 0
 	for _, o := range c.workers {
-		if now < o.avoidUntil {
+		if o != w && now < o.avoidUntil {
 			out++
 		}
 	}
 	if float64(out+1) > suspectShare*float64(len(c.workers)) {
+		klog.InfoS("Worker not quarantined", "node", w.node, "worker", w.life(), "reason", reason, "out", out)
 		return
 	}
 	w.avoidUntil = now + suspectFor
-	klog.InfoS("Worker quarantined", "node", w.node, "worker", w.life(), "failures", w.failures, "out", out,
-		"forMs", suspectFor.Milliseconds())
+	klog.InfoS("Worker quarantined", "node", w.node, "worker", w.life(), "reason", reason, "failures", w.failures,
+		"out", out, "forMs", suspectFor.Milliseconds())
 }
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -40,8 +40,15 @@
 type Batch struct {
 	Changes []Change
 	// orders are sent and forget is told to the workers after the write.
-	orders []Order
-	forget map[string]int64
+	orders    []Order
+	forget    map[string]mark
+	committed bool
+}
+
+// mark is the last end of a worker's life that is recorded.
+type mark struct {
+	life batch.Life
+	end  int64
 }
 
 // Report is what an agent said of its worker.
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -158,10 +158,10 @@
 }
 
 // write carries out batches until ctx ends or leadership is lost.
-func (t *termRun) write(ctx context.Context, batches <-chan *Batch) {
+func (t *termRun) write(ctx context.Context) {
 	for {
 		select {
-		case b := <-batches:
+		case b := <-t.batches:
 			started := time.Now()
 			revision, err := t.commit(ctx, b)
 			if err != nil {
@@ -171,6 +171,7 @@
 				return
 			}
 			t.service.metrics.write(time.Since(started))
+			t.idle <- struct{}{}
 			t.committed(b, revision)
 		case <-ctx.Done():
 			return
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -159,7 +159,7 @@
 		if from, ok := p.reserved[w.node]; ok && backfill && end > from {
 			continue
 		}
-		cand := candidate{node: w.node, rack: w.info.Rack, free: room, copies: need.Copies(room), slow: w.slowness}
+		cand := candidate{node: w.node, rack: w.info.Rack, free: room, copies: need.Copies(room)}
 		if s.spec.MaxPerWorker > 0 {
 			cand.copies = min(cand.copies, s.spec.MaxPerWorker-s.on(w.node))
 		}
@@ -257,8 +257,10 @@
 	klog.InfoS("Placed", "job", j.ID, "step", s.index, "occurrence", s.occurrence.number, "tasks", len(tasks),
 		"first", tasks[0].id.Index, "nodes", nodes, "priority", u.queue.Priority, "waitedMs", j.waited(p.now).Milliseconds(),
 		"slackMs", (u.latest - p.now).Milliseconds(), "catalog", c.catalog.Version)
+	far := p.far(s.spec, nodes)
 	for i, t := range tasks {
 		w := c.workers[nodes[i]]
+		t.far = far
 		t.run = max(t.run+1, run)
 		t.phase, t.node, t.life = assigned, w.node, w.info.Life
 		t.assignedAt, t.startedAt, t.percentAt, t.startPct = p.now, p.now, p.now, -1
@@ -275,6 +277,18 @@
 	c.useClaim(s, nodes)
 }
 
+// far reports whether tasks run slower on these workers than near their data or within one rack.
+func (p *planner) far(s *batch.Step, nodes []string) bool {
+	first := p.core.workers[nodes[0]].info.Rack
+	for _, node := range nodes {
+		rack := p.core.workers[node].info.Rack
+		if s.DataRack != "" && rack != s.DataRack || s.OneRack && rack != first {
+			return true
+		}
+	}
+	return false
+}
+
 // gangCheckpoint returns the checkpoint of the member that saved last. Checkpoints of one step are of equal length
 // and rise.
 func (s *stepRun) gangCheckpoint() string {
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -19,6 +19,8 @@
 	tickInterval = 100 * time.Millisecond
 	// changesPerWrite keeps a transaction within kvstore.MaxTxnEntries: a job that is forgotten takes four entries.
 	changesPerWrite = 7
+	// writers bounds the transactions under way, so that a slow store does not queue one job's start behind another's.
+	writers = 4
 )
 
 // Service runs the core while this process leads.
@@ -44,6 +46,8 @@
 	term    *election.Term
 	wake    chan struct{}
 	failed  chan error // the reason to give the leadership up
+	batches chan *Batch
+	idle    chan struct{} // holds an entry for each writer that is free
 
 	mu       sync.Mutex // protects what follows
 	core     *Core
@@ -53,8 +57,8 @@
 // Lead runs the scheduler until ctx ends or the term is lost.
 func (s *Service) Lead(ctx context.Context, term *election.Term) error {
 	t := &termRun{service: s, term: term, wake: make(chan struct{}, 1), failed: make(chan error, 1),
-		sessions: map[string]*session{},
-		core:     NewCore(s.config, boottime.Now())}
+		batches: make(chan *Batch, writers), idle: make(chan struct{}, writers), sessions: map[string]*session{},
+		core: NewCore(s.config, boottime.Now())}
 	revision, err := t.load(ctx)
 	if err != nil {
 		return err
@@ -66,10 +70,24 @@
 	defer group.Wait()
 	defer cancel()
 	group.Go(func() { t.watch(ctx, revision) })
-	writes := make(chan *Batch)
-	group.Go(func() { t.write(ctx, writes) })
-	t.startSessions(ctx, &group)
-	return t.loop(ctx, &group, writes)
+	for range writers {
+		t.idle <- struct{}{}
+		group.Go(func() { t.write(ctx) })
+	}
+	return t.loop(ctx, &group)
+}
+
+// Learn takes an entry of the intake from the process that wrote it, before the watch brings it. It returns false unless
+// this process leads.
+func (s *Service) Learn(e kvstore.Entry) bool {
+	s.mu.Lock()
+	t := s.term
+	s.mu.Unlock()
+	if t == nil {
+		return false
+	}
+	t.take([]kvstore.Event{{Entry: e}})
+	return true
 }
 
 func (s *Service) setTerm(t *termRun) {
@@ -121,24 +139,14 @@
 	}
 }
 
-// loop plans, hands batches to the writer and orders to the sessions.
-func (t *termRun) loop(ctx context.Context, group *sync.WaitGroup, writes chan<- *Batch) error {
+// loop plans, hands batches to the writers and orders to the sessions.
+func (t *termRun) loop(ctx context.Context, group *sync.WaitGroup) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		batch, err := t.step()
-		if err != nil {
-			return err
-		}
 		t.startSessions(ctx, group)
-		if batch != nil {
-			select {
-			case writes <- batch:
-			case err := <-t.failed:
-				return err
-			case <-ctx.Done():
-				return nil
-			}
+		if err := t.step(); err != nil {
+			return err
 		}
 		select {
 		case <-t.wake:
@@ -151,15 +159,30 @@
 	}
 }
 
-// step moves the core on and returns the next batch to write, if the writer is free.
-func (t *termRun) step() (*Batch, error) {
+// step moves the core on and hands out what is to be written, as far as writers are free.
+func (t *termRun) step() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.core.SetCatalog(t.service.catalog())
 	t.core.Tick(boottime.Now(), time.Now())
 	t.dispatch(t.core.Orders())
 	t.service.metrics.observe(t.core)
-	return t.core.Take(changesPerWrite)
+	for {
+		select {
+		case <-t.idle:
+		default:
+			return nil
+		}
+		b, err := t.core.Take(changesPerWrite)
+		if err != nil {
+			return err
+		}
+		if b == nil {
+			t.idle <- struct{}{}
+			return nil
+		}
+		t.batches <- b // has room for all writers
+	}
 }
 
 // dispatch hands orders to the sessions of their agents. The mutex is held.
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -22,7 +22,7 @@
 	redialPause    = 100 * time.Millisecond
 	redialPauseMax = time.Second
 	// syncWait is how long an agent waits for an end before it answers. Leases are extended as often.
-	syncWait = 800 * time.Millisecond
+	syncWait = 400 * time.Millisecond
 	// syncSlack is what the answer may take beyond the wait before the connection is taken as dead.
 	syncSlack = 1200 * time.Millisecond
 	// orderTimeout bounds one order, between regions included.
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -42,9 +42,20 @@
 	stopSettled time.Duration // when the worker answered it; zero before
 	missing     int           // reports in a row that lack a confirmed run
 	failedOn    map[string]bool
+	took        time.Duration // of the run that ended well
+	moves       int    // from workers on which it made no progress
+	far         bool   // away from its data, or over several racks
 	reason      string // why it is being stopped
 }
 
+// avoid makes workers other than the node preferred.
+func (t *task) avoid(node string) {
+	if t.failedOn == nil {
+		t.failedOn = map[string]bool{}
+	}
+	t.failedOn[node] = true
+}
+
 // active reports whether the task occupies its worker.
 func (t *task) active() bool { return t.phase == assigned || t.phase == stopping }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -28,14 +28,13 @@
 	failures   int           // failed ends in a row, over different jobs
 	failedJob  string        // the job of the last of them
 	avoidUntil time.Duration // quarantine
-	slowness   float64       // how many times as long as expected the worker takes; 1 is usual
 }
 
 func (c *Core) worker(node string, now time.Duration) *worker {
 	w := c.workers[node]
 	if w == nil {
 		w = &worker{node: node, tasks: map[*task]struct{}{}, expires: c.started + c.config.TakeoverWait,
-			strayStops: map[string]time.Duration{}, slowness: 1}
+			strayStops: map[string]time.Duration{}}
 		w.expires = max(w.expires, now)
 		c.workers[node] = w
 	}
@@ -131,7 +130,7 @@
 		klog.InfoS("Worker described", "node", w.node, "worker", info.Life, "service", info.Service, "rack", info.Rack,
 			"capacity", info.Capacity, "leaving", info.Leaving)
 		w.heard, w.left, w.seenEnd, w.forgetEnd, w.clockMS, w.clockAt = false, false, 0, 0, 0, 0
-		w.failures, w.avoidUntil, w.slowness = 0, 0, 1
+		w.failures, w.avoidUntil = 0, 0
 		c.changed = true
 		c.loseOthers(w, "worker started again", now, wall)
 	} else if before.Leaving != info.Leaving {
