Count a checkpoint at the stop when victims are chosen, spare victims that are not needed

Ruled out: gangs (few are preempted), failures and stragglers (a tenth of it). Conclusion: the choice of the victim is not what binds; the same long tasks are started into room that the next urgent job needs, up to nine times.

--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -74,14 +74,14 @@
 	b := s.Bounds
 	lease := time.Duration(float64(platform.Milliseconds(b.MaxHoldMS)) * leaseShare)
 	return scheduler.NewService(store, scheduler.Config{
-		Lease:           lease,
-		TakeoverWait:    election.Grace + lease + takeoverSlack,
-		StopTime:        platform.Milliseconds(b.StopTimeoutMS),
-		GangWait:        platform.Milliseconds(b.GangWaitMS),
-		FarFactor:       b.RemoteFactor,
-		Early:           platform.Milliseconds(b.EarlyMS),
-		KeepFinal:       platform.Seconds(b.StatusS),
-		CheckpointEvery: platform.Seconds(b.CheckpointInterval),
+		Lease:        lease,
+		TakeoverWait: election.Grace + lease + takeoverSlack,
+		StopTime:     platform.Milliseconds(b.StopTimeoutMS),
+		GangWait:     platform.Milliseconds(b.GangWaitMS),
+		FarFactor:    b.RemoteFactor,
+		Early:        platform.Milliseconds(b.EarlyMS),
+		KeepFinal:    platform.Seconds(b.StatusS),
+		Restore:      platform.Milliseconds(b.RestoreMS),
 	}, f.Catalog, meter, scheduler.NewMetrics(m.Scope))
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -33,8 +33,8 @@
 	Early time.Duration
 	// KeepFinal is how long the state of a finished job is kept.
 	KeepFinal time.Duration
-	// CheckpointEvery is the time of work between two checkpoints.
-	CheckpointEvery time.Duration
+	// Restore is how long a task takes to resume from a checkpoint.
+	Restore time.Duration
 }
 
 // clockTolerance allows for a worker's clock that is 2% slow.
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		klog.InfoS("Run ended", "task", e.Task, "run", e.Run, "node", w.node, "worker", w.info.Life, "how", e.How,
-			"number", e.Number, "tookMs", (now - t.startedAt).Milliseconds(), "checkpoint", e.Checkpoint,
+			"number", e.Number, "cores", t.step.spec.Need.Cores(), "tookMs", (now - t.startedAt).Milliseconds(), "checkpoint", e.Checkpoint,
 			"reason", t.reason)
 		c.end(w, t, e, now, wall)
 	}
@@ -206,7 +206,10 @@
 	}
 	c.stats.Started++
 	t.confirmed, t.confirmedAt, t.startedAt, t.percentAt = true, now, now, now
-	t.startPct = -1
+	t.startPct, t.paceFrom = 0, now
+	if t.checkpoint != "" || !t.ordered || t.doubtful {
+		t.startPct = -1
+	}
 	if j := t.step.job(); !j.started {
 		j.started, j.dirty = true, true
 		if j.state == batch.Queued {
@@ -234,8 +237,8 @@
 		if run.Checkpoint != "" && run.Checkpoint != t.checkpoint {
 			t.checkpoint = run.Checkpoint // recorded with the next change of the job
 		}
-		if t.startPct < 0 {
-			t.startPct = run.Percent
+		if t.startPct < 0 { // resumed from a checkpoint, or adopted from the leader before
+			t.startPct, t.paceFrom = run.Percent, now
 		}
 		if run.Percent != t.percent {
 			t.percent, t.percentAt = run.Percent, now
--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -69,7 +69,7 @@
 	whole := c.expected(t.step)
 	ran := now - t.startedAt
 	if t.confirmed && t.startPct >= 0 && t.percent > t.startPct {
-		whole = time.Duration(float64(t.percentAt-t.startedAt) * 100 / float64(t.percent-t.startPct))
+		whole = time.Duration(float64(t.percentAt-t.paceFrom) * 100 / float64(t.percent-t.startPct))
 		left := time.Duration(float64(whole) * float64(100-t.percent) / 100)
 		return max(left-(now-t.percentAt), minRemaining)
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -312,7 +312,7 @@
 		return
 	}
 	at, nodes := p.forecast(u, n)
-	if u.queue.Priority == 0 && (nodes == nil || at > u.latest-preemptMargin) {
+	if u.queue.Priority == 0 && (nodes == nil || at > p.now+preemptPatience) {
 		if more := p.preempt(u, n); more != nil {
 			p.keepClaim(more)
 			p.core.addClaim(u.step, more)
@@ -324,8 +324,9 @@
 	}
 }
 
-// preemptMargin is left between the forecast of room and the latest start: forecasts are rough, and stopping takes time.
-const preemptMargin = 300 * time.Millisecond
+// preemptPatience is the wait for room that becomes free by itself: about the time that stopping takes. Longer waits
+// would have to trust estimates, and work that starts too late costs more than work that starts again.
+const preemptPatience = 150 * time.Millisecond
 
 // forecast returns the earliest time at which n tasks of the unit, or one task of a step without a gang, fit as running
 // tasks end, and the workers.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -176,11 +176,15 @@
 			victims = victims[1:]
 			free = free.Plus(v.step.spec.Reserved())
 			sl.victims = append(sl.victims, v)
-			sl.cost += p.loss(v)
 		}
 		if !need.Fits(free) {
 			break
 		}
+		sl.victims, victims, free = spare(sl.victims, victims, free, need)
+		sl.cost = 0
+		for _, v := range sl.victims {
+			sl.cost += p.loss(v)
+		}
 		free = free.Minus(need)
 		sl.cost = max(sl.cost, floor)
 		floor = sl.cost
@@ -189,6 +193,19 @@
 	return slots
 }
 
+// spare returns the victims without those whose room is not needed after all, the dearest first, and puts these back
+// before the rest.
+func spare(chosen, rest []*task, free, need batch.Resources) (victims, others []*task, left batch.Resources) {
+	for i := len(chosen) - 1; i >= 0; i-- {
+		if without := free.Minus(chosen[i].step.spec.Reserved()); need.Fits(without) {
+			rest = append([]*task{chosen[i]}, rest...)
+			chosen = slices.Delete(slices.Clone(chosen), i, i+1)
+			free = without
+		}
+	}
+	return chosen, rest, free
+}
+
 // loss returns the work in core-seconds that is thrown away when a task is stopped, its gang included.
 func (p *planner) loss(t *task) float64 {
 	members := []*task{t}
@@ -201,8 +218,8 @@
 			continue
 		}
 		ran := p.now - m.startedAt
-		if m.step.spec.Checkpoints {
-			ran = min(ran, p.core.config.CheckpointEvery)
+		if m.step.spec.Checkpoints { // a stop saves the progress; resuming takes time
+			ran = min(ran, p.core.config.Restore)
 		}
 		sum += ran.Seconds()*m.step.spec.Need.Cores() + restartLoss
 	}
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -42,7 +42,7 @@
 	if now-t.percentAt > max(stallAfter, usual*stallPercents/100) {
 		return "stands still"
 	}
-	if now-t.startedAt < crawlAfter || t.step.spec.Gang {
+	if now-t.paceFrom < crawlAfter || t.step.spec.Gang {
 		return ""
 	}
 	peers := t.peers(now)
@@ -62,7 +62,7 @@
 // whole projects the time of a run from its progress. The percentage is rounded down, so it may have done nearly one
 // more.
 func (t *task) whole(now time.Duration) time.Duration {
-	return time.Duration(float64(now-t.startedAt) * 100 / float64(t.percent-t.startPct+1))
+	return time.Duration(float64(now-t.paceFrom) * 100 / float64(t.percent-t.startPct+1))
 }
 
 // peers returns the times that the other tasks of the step took, or will take at their pace.
@@ -73,7 +73,7 @@
 		case o == t || o.node != "" && o.node == t.node:
 		case o.phase == done && o.took > 0:
 			times = append(times, o.took)
-		case o.phase == assigned && o.confirmed && o.startPct >= 0 && now-o.startedAt >= crawlAfter:
+		case o.phase == assigned && o.confirmed && o.startPct >= 0 && now-o.paceFrom >= crawlAfter:
 			times = append(times, o.whole(now))
 		}
 	}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -37,15 +37,16 @@
 	retryAt     time.Duration // no start before
 	percent     int
 	percentAt   time.Duration // when percent changed last
-	startPct    int           // the first percentage seen of this run
+	startPct    int           // the percentage at paceFrom; negative if not known
+	paceFrom    time.Duration // from when on the pace of this run is judged
 	stopAt      time.Duration // when the last order to stop was sent
 	stopSettled time.Duration // when the worker answered it; zero before
 	missing     int           // reports in a row that lack a confirmed run
 	failedOn    map[string]bool
 	took        time.Duration // of the run that ended well
-	moves       int    // from workers on which it made no progress
-	far         bool   // away from its data, or over several racks
-	reason      string // why it is being stopped
+	moves       int           // from workers on which it made no progress
+	far         bool          // away from its data, or over several racks
+	reason      string        // why it is being stopped
 }
 
 // avoid makes workers other than the node preferred.
