--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -66,6 +66,7 @@
 	outbox  []Order              // orders that need no record
 	learned map[string]*duration // by queue
 	claims  map[*stepRun]*claim
+	urgent  demand
 	batches []*Batch // taken and not committed, in the order in which they were taken
 	changed bool     // something may be placed that could not before
 	planned time.Duration
@@ -116,6 +117,9 @@
 	c.jobs[b.ID] = j
 	if !j.state.Final() {
 		c.order = append(c.order, j)
+		if c.queue(j).Priority == 0 {
+			c.urgent.observe(j)
+		}
 		c.openDue(j, now, wall)
 	}
 	if c.cancels[b.ID] {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -38,6 +38,7 @@
 		}
 	}
 	p := &planner{core: c, now: now, free: free, reserved: map[string]time.Duration{}}
+	p.spareRoom = c.urgent.headroom()
 	c.dropClaims(now)
 	for _, u := range c.units(now) {
 		p.place(u)
@@ -119,6 +120,8 @@
 	free     map[string]batch.Resources
 	reserved map[string]time.Duration // from when a worker's room is kept for a more urgent unit
 	kept     int
+	// spareRoom is the number of accelerators that less urgent units leave free while they can wait.
+	spareRoom float64
 }
 
 // place assigns a unit, claims room for it, or keeps room that becomes free for it.
@@ -187,9 +190,33 @@
 
 // choose returns workers for n tasks of the unit with what is free now, or nil.
 func (p *planner) choose(u unit, n int, backfill bool) []string {
+	if p.mustLeaveRoom(u, n) {
+		return nil
+	}
 	return p.chooseFrom(u, n, p.candidates(u, p.free, backfill))
 }
 
+// mustLeaveRoom reports whether a unit that can wait would take the accelerators that urgent jobs will need soon.
+func (p *planner) mustLeaveRoom(u unit, n int) bool {
+	if u.queue.Priority == 0 || p.spareRoom == 0 {
+		return false
+	}
+	slack := u.latest - p.now
+	if waited := u.step.occurrence.waited(p.now); slack < time.Duration(float64(slack+waited)*headroomSlack) {
+		return false
+	}
+	room := 0
+	for node, r := range p.free {
+		if p.core.workers[node].info.Service == u.queue.Service {
+			room += max(r.Accelerators, 0)
+		}
+	}
+	return float64(room-n*u.step.spec.Need.Accelerators) < p.spareRoom
+}
+
+// headroomSlack is the part of its slack that a unit must have left to leave room to more urgent ones.
+const headroomSlack = 0.6
+
 func (p *planner) chooseFrom(u unit, n int, cs []candidate) []string {
 	s := u.step.spec
 	need := s.Reserved()
