--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -76,7 +76,7 @@
 			best = e
 		}
 	}
-	if best == nil {
+	if best == nil || best.cost > p.worthStopping(u, len(best.nodes)) && !p.core.guaranteed(u) {
 		return nil
 	}
 	cl := &claim{until: p.now + claimFor, nodes: best.nodes, need: need}
@@ -85,6 +85,7 @@
 	for _, v := range best.victims {
 		if v.phase == assigned {
 			p.core.stats.Preempted++
+			v.preempted++
 			p.core.stop(v, "preempted by "+s.job().ID, p.now)
 			p.core.breakGang(v, "member preempted", p.now)
 		}
@@ -92,6 +93,34 @@
 	return cl
 }
 
+// worthStopping returns the loss, in core-seconds, up to which stopping other work for n tasks of the unit pays.
+func (p *planner) worthStopping(u unit, n int) float64 {
+	return maxLossRatio * float64(n) * u.step.spec.Need.Cores() * p.core.expected(u.step).Seconds()
+}
+
+// maxLossRatio is the loss that preemption may cause, as a multiple of the work that it serves in time. A late urgent
+// job loses most of its worth.
+const maxLossRatio = 2.0
+
+// guaranteed reports whether the accelerators of all open urgent jobs of the team are within its guarantee, so that the
+// unit has to start whatever it costs.
+func (c *Core) guaranteed(u unit) bool {
+	team := c.catalog.Team(u.step.job().Team)
+	if team == nil {
+		return false
+	}
+	sum := 0
+	for _, j := range c.order {
+		if j.Team != team.Name || c.queue(j).Priority != 0 {
+			continue
+		}
+		for i := range j.Steps {
+			sum += j.Steps[i].Count * j.Steps[i].Need.Accelerators
+		}
+	}
+	return sum <= team.Guaranteed
+}
+
 // groups returns the sets of workers of which one has to hold the unit.
 func (p *planner) groups(u unit, n int) [][]candidate {
 	s := u.step.spec
@@ -221,10 +250,14 @@
 		if m.step.spec.Checkpoints { // a stop saves the progress; resuming takes time
 			ran = min(ran, p.core.config.Restore)
 		}
-		sum += ran.Seconds()*m.step.spec.Need.Cores() + restartLoss
+		sum += (ran.Seconds()*m.step.spec.Need.Cores() + restartLoss) * (1 + repeatLoss*float64(m.preempted))
 	}
 	return sum
 }
 
 // restartLoss is the price of a restart by itself, in core-seconds.
 const restartLoss = 1
+
+// repeatLoss is added to the loss for each time that the task was preempted before, as a share: it spreads preemption
+// over tasks, so that each gets done.
+const repeatLoss = 0.5
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -44,6 +44,7 @@
 	missing     int           // reports in a row that lack a confirmed run
 	failedOn    map[string]bool
 	took        time.Duration // of the run that ended well
+	preempted   int           // times that it was stopped for a more urgent task
 	moves       int           // from workers on which it made no progress
 	far         bool          // away from its data, or over several racks
 	reason      string        // why it is being stopped
