Hand the leadership over when the store turns the leader away

The leader knows after 0.1 to 0.7 s; it now asks another entry to remove its key. Tasks of one step differ by a factor of two and more, so a straggler is now one that takes 3.5 times as long; it moves once. Ruled out: a shorter lease, which one slow answer would lose.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -71,6 +71,8 @@
 	key   string
 	self  Leader
 	lead  func(ctx context.Context, term *Term) error
+	// release asks another process to remove the key of a term, and reports whether one did.
+	release func(ctx context.Context, term int64) bool
 
 	mu      sync.Mutex
 	current Leader
@@ -78,9 +80,21 @@
 }
 
 // New returns an election under the key. While this process leads, it runs lead; when lead returns, it gives the
-// leadership up.
-func New(store kvstore.Store, key string, self Leader, lead func(context.Context, *Term) error) *Election {
-	return &Election{store: store, key: key, self: self, lead: lead}
+// leadership up. A leader that the store turns away calls release, so that a process which reaches the store can take
+// over before the lease expires.
+func New(store kvstore.Store, key string, self Leader, lead func(context.Context, *Term) error,
+	release func(context.Context, int64) bool) *Election {
+	return &Election{store: store, key: key, self: self, lead: lead, release: release}
+}
+
+// Remove removes the key of another process's term, with its consent.
+func (e *Election) Remove(ctx context.Context, term int64) error {
+	_, err := e.store.Txn(ctx, kvstore.Txn{
+		Expect:  []kvstore.Condition{{Key: e.key, Revision: kvstore.Revision(term)}},
+		Deletes: []string{e.key},
+	})
+	klog.InfoS("Leader's key removed with its consent", "term", term, "err", err)
+	return err
 }
 
 // Current returns the leader that was seen last. The zero value means none.
@@ -212,28 +226,34 @@
 	}
 }
 
-// keep renews the lease until the term ends. It ends when the lease has expired, or after Grace without an answer.
+// keep renews the lease until the term ends. It ends when the lease has expired, when another process has removed the
+// key with this one's consent, or after Grace without an answer.
 func (e *Election) keep(ctx context.Context, term *Term, lease kvstore.LeaseID) {
-	failing := false
+	failures := 0
 	for ctx.Err() == nil {
-		pause(ctx, renewInterval)
-		sent := boottime.Now()
-		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
-		err := e.store.KeepAlive(callCtx, lease)
-		cancel()
+		if failures != 1 { // a single failure may be a lost answer: try again at once
+			pause(ctx, renewInterval)
+		}
+		err := e.renew(ctx, term, lease)
 		switch {
+		case ctx.Err() != nil:
+			return
 		case err == nil:
-			term.renew(sent)
-			if failing {
-				klog.InfoS("Store reached again", "term", term.Number)
+			if failures > 0 {
+				klog.InfoS("Store reached again", "term", term.Number, "failures", failures)
 			}
-			failing = false
+			failures = 0
+			continue
 		case errors.Is(err, kvstore.ErrLeaseNotFound):
 			klog.InfoS("Leadership lost", "term", term.Number, "reason", "lease expired")
 			return
-		case ctx.Err() == nil && !failing:
-			failing = true
-			klog.InfoS("Store not reached", "term", term.Number, "err", err)
+		}
+		if failures++; failures == 1 {
+			klog.InfoS("Lease not renewed", "term", term.Number, "err", err)
+		}
+		if failures >= handOverAfter && e.release(ctx, term.Number) {
+			klog.InfoS("Leadership handed over", "term", term.Number, "failures", failures)
+			return
 		}
 		if !term.Held() {
 			klog.InfoS("Leadership lost", "term", term.Number, "reason", "no renewal within the grace period")
@@ -242,6 +262,21 @@
 	}
 }
 
+// handOverAfter is the number of failed renewals in a row after which another process is asked to take over. If the
+// store is down for all, none can.
+const handOverAfter = 2
+
+func (e *Election) renew(ctx context.Context, term *Term, lease kvstore.LeaseID) error {
+	sent := boottime.Now()
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	if err := e.store.KeepAlive(ctx, lease); err != nil {
+		return err
+	}
+	term.renew(sent)
+	return nil
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"net/http"
-	"time"
 
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
@@ -19,13 +16,6 @@
 	"masticcart.example/masticcart/platform"
 )
 
-const (
-	// registerTimeout bounds one try to register with the store.
-	registerTimeout = time.Second
-	// registerPause follows a failed one.
-	registerPause = 250 * time.Millisecond
-)
-
 // Agent is the module of a process beside a worker.
 var Agent = fx.Module("agent",
 	fx.Provide(newStore, newMetrics, newMeter, newRelay,
@@ -65,46 +55,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	go p.register(ctx)
+	go register(ctx, p.store, scheduler.AgentKey(p.settings.Node), p.settings)
 	return nil
 }
 
-// register puts the address of the agent into the store, where the leader finds it. The entry stays: an agent that
-// starts again on its machine has the same address, and one that is gone is dialled in vain.
-func (p *agentProcess) register(ctx context.Context) {
-	value, err := json.Marshal(scheduler.Agent{Node: p.settings.Node, Address: p.settings.RPCAddress()})
-	if err != nil {
-		klog.ErrorS(err, "Registration not encoded")
-		return
-	}
-	key := scheduler.AgentKey(p.settings.Node)
-	var before kvstore.Entry
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
-		_, err := p.store.Put(callCtx, key, value, before.Revision, 0)
-		cancel()
-		var conflict *kvstore.ConflictError
-		switch {
-		case err == nil:
-			klog.InfoS("Registered", "key", key, "address", p.settings.RPCAddress())
-			return
-		case errors.As(err, &conflict):
-			if before = conflict.Find(key); string(before.Value) == string(value) {
-				klog.InfoS("Registered before", "key", key, "revision", before.Revision)
-				return
-			}
-			continue
-		}
-		klog.InfoS("Not registered", "key", key, "err", err)
-		timer := time.NewTimer(registerPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-	}
-}
-
 // stop ends at once: the worker keeps what it runs under its lease until the agent is back.
 func (p *agentProcess) stop(context.Context) error {
 	p.cancel()
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -85,8 +85,10 @@
 	}, f.Catalog, meter, scheduler.NewMetrics(m.Scope))
 }
 
-func newElection(s *platform.Settings, store kvstore.Store, sched *scheduler.Service) *election.Election {
-	return election.New(store, scheduler.KeyLeader, election.Leader{Node: s.Node, Address: s.RPCAddress()}, sched.Lead)
+func newElection(s *platform.Settings, store kvstore.Store, sched *scheduler.Service, m *rpc.Meter) *election.Election {
+	r := &releaser{self: s.RPCAddress(), scheduler: sched, meter: m}
+	self := election.Leader{Node: s.Node, Address: s.RPCAddress()}
+	return election.New(store, scheduler.KeyLeader, self, sched.Lead, r.release)
 }
 
 func newIntake(s *platform.Settings, store kvstore.Store, f *intake.Follower, l *leaderClient) *intake.Service {
@@ -100,6 +102,7 @@
 // entryProcess is what an entry starts and stops.
 type entryProcess struct {
 	settings  *platform.Settings
+	store     kvstore.Store
 	follower  *intake.Follower
 	election  *election.Election
 	intake    *intake.Service
@@ -115,14 +118,14 @@
 	follow   context.CancelFunc
 }
 
-func serveEntry(lc fx.Lifecycle, s *platform.Settings, f *intake.Follower, e *election.Election, i *intake.Service, sched *scheduler.Service, m *rpc.Meter) {
-	p := &entryProcess{settings: s, follower: f, election: e, intake: i, scheduler: sched, meter: m}
+func serveEntry(lc fx.Lifecycle, s *platform.Settings, store kvstore.Store, f *intake.Follower, e *election.Election, i *intake.Service, sched *scheduler.Service, m *rpc.Meter) {
+	p := &entryProcess{settings: s, store: store, follower: f, election: e, intake: i, scheduler: sched, meter: m}
 	lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
 }
 
 func (p *entryProcess) start(context.Context) error {
 	klog.InfoS("Starting", "role", "entry", "node", p.settings.Node, "zone", p.settings.Zone, "front", p.settings.BindAddresses.Front)
-	server, err := rpc.Listen(p.settings.RPCAddress(), nil, leaderHandlers(p.scheduler), p.meter)
+	server, err := rpc.Listen(p.settings.RPCAddress(), nil, leaderHandlers(p.scheduler, p.election), p.meter)
 	if err != nil {
 		return err
 	}
@@ -138,6 +141,7 @@
 	p.follow, p.cancel = follow, cancel
 	p.group.Go(func() { p.follower.Run(followCtx) })
 	p.group.Go(func() { p.intake.Run(followCtx) })
+	p.group.Go(func() { register(followCtx, p.store, scheduler.EntryKey(p.settings.Node), p.settings) })
 	p.group.Go(func() { p.election.Run(electCtx) })
 	return nil
 }
--- a/internal/hosted/leader.go
+++ b/internal/hosted/leader.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"masticcart.example/masticcart/internal/election"
 	"masticcart.example/masticcart/internal/intake"
 	"masticcart.example/masticcart/internal/kvstore"
@@ -19,6 +21,48 @@
 	methodLearn   = "scheduler.learn"
 )
 
+// methodRelease asks an entry to remove the key of the caller's term.
+const methodRelease = "election.release"
+
+// releaseTimeout bounds the call: an entry that does not reach the store either is of no help.
+const releaseTimeout = 400 * time.Millisecond
+
+type releaseRequest struct {
+	Term int64 `json:"term"`
+}
+
+// releaser asks the other entries, one after the other, to remove the key of a term of this process.
+type releaser struct {
+	self      string // address
+	scheduler *scheduler.Service
+	meter     *rpc.Meter
+}
+
+func (r *releaser) release(ctx context.Context, term int64) bool {
+	for node, address := range r.scheduler.Entries() {
+		if address == r.self || ctx.Err() != nil {
+			continue
+		}
+		err := r.ask(ctx, address, term)
+		klog.InfoS("Asked to take over", "node", node, "term", term, "err", err)
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *releaser) ask(ctx context.Context, address string, term int64) error {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	conn, err := rpc.Dial(ctx, address, nil, nil, r.meter)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return conn.Call(ctx, methodRelease, releaseRequest{Term: term}, &none{})
+}
+
 // leaderCallTimeout bounds a call to the leader, so that a silent connection is replaced in time for the caller.
 const leaderCallTimeout = 500 * time.Millisecond
 
@@ -27,8 +71,11 @@
 
 type none struct{}
 
-func leaderHandlers(s *scheduler.Service) rpc.Handlers {
+func leaderHandlers(s *scheduler.Service, e *election.Election) rpc.Handlers {
 	return rpc.Handlers{
+		methodRelease: rpc.Method(func(ctx context.Context, _ *rpc.Conn, r releaseRequest) (none, error) {
+			return none{}, e.Remove(ctx, r.Term)
+		}),
 		methodPending: rpc.Method(func(context.Context, *rpc.Conn, none) (map[string]int, error) {
 			pending, ok := s.Pending()
 			if !ok {
--- a/internal/intake/catalog.go
+++ b/internal/intake/catalog.go
@@ -62,7 +62,9 @@
 			at, err = f.poll(ctx, at)
 		}
 		if ctx.Err() == nil && !errors.Is(err, kvstore.ErrCompacted) {
-			f.lost(err)
+			if !errors.Is(err, kvstore.ErrNotFound) {
+				f.lost(err)
+			}
 			timer := time.NewTimer(catalogPause)
 			select {
 			case <-timer.C:
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -104,15 +104,26 @@
 		klog.InfoS("Cancellation learned", "job", id, "revision", e.Revision)
 		t.core.Cancel(id, now, wall)
 	case strings.HasPrefix(e.Key, AgentKeys):
-		var a Agent
-		if err := json.Unmarshal(e.Value, &a); err != nil {
-			klog.ErrorS(err, "Registration of an agent not readable", "key", e.Key, "revision", e.Revision)
-			return
+		if a, ok := registration(e); ok {
+			t.register(a)
+		}
+	case strings.HasPrefix(e.Key, EntryKeys):
+		if a, ok := registration(e); ok {
+			t.service.setEntry(a)
 		}
-		t.register(a)
 	}
 }
 
+// registration reads the entry of an agent or of an entry host.
+func registration(e kvstore.Entry) (Registration, bool) {
+	var r Registration
+	if err := json.Unmarshal(e.Value, &r); err != nil {
+		klog.ErrorS(err, "Registration not readable", "key", e.Key, "revision", e.Revision)
+		return r, false
+	}
+	return r, true
+}
+
 // watch follows the intake until ctx ends.
 func (t *termRun) watch(ctx context.Context, since kvstore.Revision) {
 	for ctx.Err() == nil {
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -16,6 +16,7 @@
 	JobKeys    = Intake + "jobs/"
 	CancelKeys = Intake + "cancels/"
 	AgentKeys  = Intake + "agents/"
+	EntryKeys  = Intake + "entries/"
 	Records    = "masticcart/records/"
 )
 
@@ -28,11 +29,14 @@
 // AgentKey returns the key under which an agent registers.
 func AgentKey(node string) string { return AgentKeys + node }
 
+// EntryKey returns the key under which an entry registers.
+func EntryKey(node string) string { return EntryKeys + node }
+
 // RecordKey returns the key of a job's progress.
 func RecordKey(id string) string { return Records + id }
 
-// Agent is the registration of an agent.
-type Agent struct {
+// Registration is the entry of an agent or of an entry host.
+type Registration struct {
 	Node    string `json:"node"`
 	Address string `json:"address"` // of its RPC listener
 }
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -33,11 +34,14 @@
 
 	mu   sync.Mutex
 	term *termRun // nil while another process leads
+	// entries are the addresses of the entry hosts by name, as this process learned them while it led.
+	entries map[string]string
 }
 
 // NewService returns the scheduler of an entry. catalog returns the newest configuration that is known.
 func NewService(store kvstore.Store, config Config, catalog func() *batch.Catalog, meter *rpc.Meter, m *metrics) *Service {
-	return &Service{store: store, config: config, catalog: catalog, meter: meter, metrics: m}
+	return &Service{store: store, config: config, catalog: catalog, meter: meter, metrics: m,
+		entries: map[string]string{}}
 }
 
 // termRun is the scheduler during one term.
@@ -90,6 +94,20 @@
 	return true
 }
 
+// setEntry takes the registration of an entry host.
+func (s *Service) setEntry(r Registration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[r.Node] = r.Address
+}
+
+// Entries returns the addresses of the entry hosts by name, as far as this process has learned them while it led.
+func (s *Service) Entries() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.entries)
+}
+
 func (s *Service) setTerm(t *termRun) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -46,7 +46,7 @@
 }
 
 // register takes the address of an agent. The mutex of the run is held.
-func (t *termRun) register(a Agent) {
+func (t *termRun) register(a Registration) {
 	s := t.sessions[a.Node]
 	if s == nil {
 		s = &session{run: t, node: a.Node, orders: make(chan Order, orderQueue)}
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -14,9 +14,9 @@
 	stallAfter = 1500 * time.Millisecond
 	// stallPercents is the progress that a task should have made meanwhile.
 	stallPercents = 8
-	// crawlFactor is how many times as long as the other tasks of its step a task has to take to be moved. Estimates
-	// do not tell: they are off by more than that, for all tasks of a job alike.
-	crawlFactor = 2.5
+	// crawlFactor is how many times as long as the other tasks of its step a task has to take to be moved. Tasks of a
+	// step differ by a factor of two and more. Estimates do not tell: they are off for all tasks of a job alike.
+	crawlFactor = 3.5
 	// crawlPeers is the least number of tasks to compare with.
 	crawlPeers = 2
 	// crawlAfter is the least time of a run before its pace is judged.
@@ -24,7 +24,7 @@
 	// crawlSlack is what a move has to save.
 	crawlSlack = 500 * time.Millisecond
 	// maxMoves bounds the moves of one task, in case it is the task that is slow.
-	maxMoves = 2
+	maxMoves = 1
 )
 
 // straggling returns why a run should be stopped and started elsewhere, or an empty string.
