Record checkpoints each second; a restarted leader removes the key of its earlier life

Cause: after the loss of all machines tasks with checkpoints began anew, as their checkpoints stood in memory only until the next change of their job; and an entry that had led before its restart waited for its own lease to expire. Ruled out: recording each checkpoint at once (a write per task and interval). Conclusion: kept; about one write a second.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -128,6 +128,11 @@
 		case err != nil:
 			klog.V(1).InfoS("Leader not read", "err", err)
 			pause(ctx, retryPause)
+		case decode(entry).Node == e.self.Node:
+			// The key of an earlier life of this process, which cannot lead any more.
+			if err := e.Remove(ctx, int64(entry.Revision)); err != nil {
+				pause(ctx, retryPause)
+			}
 		default:
 			e.see(decode(entry))
 			e.follow(ctx, entry.Revision)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -70,6 +70,7 @@
 	batches []*Batch // taken and not committed, in the order in which they were taken
 	changed bool     // something may be placed that could not before
 	planned time.Duration
+	saved   time.Duration // when checkpoints were recorded last
 	stats   Stats
 }
 
@@ -183,6 +184,7 @@
 		c.check(w, now, wall)
 	}
 	c.forget(wall)
+	c.save(now)
 	if c.changed || now-c.planned >= planInterval {
 		c.changed = false
 		c.planned = now
@@ -190,6 +192,21 @@
 	}
 }
 
+// saveInterval is the pace at which checkpoints are recorded, so that they outlive their worker and this process.
+const saveInterval = time.Second
+
+// save marks the jobs with new checkpoints to be written.
+func (c *Core) save(now time.Duration) {
+	if now-c.saved < saveInterval {
+		return
+	}
+	c.saved = now
+	for _, j := range c.order {
+		j.dirty = j.dirty || j.unsaved
+		j.unsaved = false
+	}
+}
+
 // forget removes finished jobs whose state has been kept for long enough.
 func (c *Core) forget(wall time.Time) {
 	for _, j := range c.jobs {
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -235,7 +235,8 @@
 		c.confirm(t, now)
 		t.missing = 0
 		if run.Checkpoint != "" && run.Checkpoint != t.checkpoint {
-			t.checkpoint = run.Checkpoint // recorded with the next change of the job
+			t.checkpoint = run.Checkpoint
+			t.step.job().unsaved = true
 		}
 		if t.startPct < 0 { // resumed from a checkpoint, or adopted from the leader before
 			t.startPct, t.paceFrom = run.Percent, now
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -127,6 +127,7 @@
 	revision kvstore.Revision // of the record; zero: not recorded yet
 	dirty    bool
 	writing  bool
+	unsaved  bool // a checkpoint has come that is not recorded
 	orders   []Order // to be sent once the record is written
 }
 
