--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -3,6 +3,7 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -192,6 +193,12 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step),
+		cmp.Compare(t.Index, o.Index))
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -59,8 +59,10 @@
 	config  Config
 	catalog *batch.Catalog
 	jobs    map[string]*job
-	order   []*job // open jobs in the order in which they were learned of
+	order   []*job // those of all that are open
+	all     []*job // jobs in the order in which they were learned of
 	workers map[string]*worker
+	fleet   []*worker            // workers in the order of their nodes, so that equal states lead to equal decisions
 	cancels map[string]bool      // cancellations that came before their jobs
 	started time.Duration        // when this leader took over
 	outbox  []Order              // orders that need no record
@@ -116,6 +118,7 @@
 		}
 	}
 	c.jobs[b.ID] = j
+	c.all = append(c.all, j)
 	if !j.state.Final() {
 		c.order = append(c.order, j)
 		if c.queue(j).Priority == 0 {
@@ -180,7 +183,7 @@
 	for _, j := range c.order {
 		c.openDue(j, now, wall)
 	}
-	for _, w := range c.workers {
+	for _, w := range c.fleet {
 		c.check(w, now, wall)
 	}
 	c.forget(wall)
@@ -209,7 +212,7 @@
 
 // forget removes finished jobs whose state has been kept for long enough.
 func (c *Core) forget(wall time.Time) {
-	for _, j := range c.jobs {
+	for _, j := range c.all {
 		if j.state.Final() && !j.dirty && !j.writing && wall.Sub(j.finishedAt) > c.config.KeepFinal && j.idle() {
 			j.dirty = true
 			j.state = forgotten
@@ -239,7 +242,7 @@
 func (c *Core) Take(limit int) (*Batch, error) {
 	b := &Batch{forget: map[string]mark{}}
 	all := true
-	for _, j := range c.jobs {
+	for _, j := range c.all {
 		if !j.dirty {
 			continue
 		}
@@ -260,7 +263,7 @@
 		j.orders, j.dirty, j.writing = nil, false, true
 	}
 	if all { // ends of jobs that are left out must not be forgotten yet
-		for _, w := range c.workers {
+		for _, w := range c.fleet {
 			if w.seenEnd > w.forgetEnd {
 				b.forget[w.node] = mark{w.life(), w.seenEnd}
 			}
@@ -288,6 +291,7 @@
 		j.writing = false
 		if change.Forget {
 			delete(c.jobs, j.ID)
+			c.all = slices.DeleteFunc(c.all, func(o *job) bool { return o == j })
 			delete(c.cancels, j.ID)
 			continue
 		}
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -190,7 +190,10 @@
 		if t.phase == stopping {
 			return // the answer to the stop tells for certain
 		}
-		if t.doubtful && v != batch.Stale {
+		if v == batch.Stale {
+			// The run has been stopped or has ended there, perhaps well: the next report tells.
+			t.phase, t.reason, t.stopAt, t.stopSettled = stopping, "start was stale", now, now
+		} else if t.doubtful {
 			c.stop(t, "refused after an order without an answer", now)
 		} else {
 			c.release(t, now, wall)
@@ -248,7 +251,7 @@
 			c.move(w, t, reason, now)
 		}
 	}
-	for t := range w.tasks {
+	for _, t := range w.sorted() {
 		if present[t] || t.life != w.info.Life {
 			continue
 		}
@@ -256,6 +259,8 @@
 		case t.phase == stopping && t.stopSettled != 0 && r.Asked > t.stopSettled+c.config.StopTime:
 			klog.InfoS("Run is gone", "task", t.id, "run", t.run, "node", w.node, "reason", t.reason)
 			c.release(t, now, wall)
+		case t.phase == assigned && t.step.job().state.Final():
+			c.stop(t, "job "+string(t.step.job().state), now)
 		case t.phase == assigned && !t.ordered && !t.step.job().dirty && !t.step.job().writing:
 			// Recorded by the leader before, which may not have sent the order.
 			t.ordered, t.doubtful, t.assignedAt = true, true, now
--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -104,7 +104,7 @@
 // quarantine keeps new tasks from a worker for a while, unless too many are kept out already.
 func (c *Core) quarantine(w *worker, reason string, now time.Duration) {
 	out := 0
-	for _, o := range c.workers {
+	for _, o := range c.fleet {
 		if o != w && now < o.avoidUntil {
 			out++
 		}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -32,7 +32,7 @@
 // plan places waiting tasks: the most urgent first, others into the room that those cannot use.
 func (c *Core) plan(now time.Duration) {
 	free := map[string]batch.Resources{}
-	for _, w := range c.workers {
+	for _, w := range c.fleet {
 		if w.usable(now) {
 			free[w.node] = w.info.Capacity.Minus(w.used())
 		}
@@ -154,7 +154,7 @@
 	need := s.spec.Reserved()
 	end := p.now + p.core.expected(s)
 	var cs []candidate
-	for _, w := range p.core.workers {
+	for _, w := range p.core.fleet {
 		room, ok := free[w.node]
 		if !ok || w.info.Service != u.queue.Service || !w.info.HasLabel(s.spec.RequiredLabel) {
 			continue
@@ -257,7 +257,7 @@
 func (p *planner) holdable(u unit, n int) bool {
 	s := u.step.spec
 	empty := map[string]batch.Resources{}
-	for _, w := range p.core.workers {
+	for _, w := range p.core.fleet {
 		if w.info != nil && !w.left && (s.DataRack == "" || w.info.Rack == s.DataRack) && !w.info.Leaving {
 			empty[w.node] = w.info.Capacity
 		}
@@ -367,11 +367,11 @@
 		r    batch.Resources
 	}
 	var releases []release
-	for _, w := range p.core.workers {
+	for _, w := range p.core.fleet {
 		if _, ok := p.free[w.node]; !ok {
 			continue
 		}
-		for t := range w.tasks {
+		for _, t := range w.sorted() {
 			releases = append(releases, release{p.now + p.core.remaining(t, p.now), w.node, t.step.spec.Reserved()})
 		}
 	}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -178,7 +178,7 @@
 	w := p.core.workers[c.node]
 	free := p.free[c.node]
 	var victims []*task
-	for t := range w.tasks {
+	for _, t := range w.sorted() {
 		if p.core.queue(t.step.job()).Priority <= u.queue.Priority {
 			continue
 		}
@@ -190,7 +190,7 @@
 	}
 	cost := func(t *task) float64 { return p.loss(t) / max(t.step.spec.Reserved().Cores(), 1) }
 	slices.SortFunc(victims, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(a.id.String(), b.id.String()))
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), a.id.Compare(b.id))
 	})
 	var slots []slot
 	limit := n
--- /dev/null
+++ b/internal/scheduler/rules_test.go
@@ -0,0 +1,279 @@
+package scheduler
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"masticcart.example/masticcart/internal/batch"
+)
+
+// randomDay plays faults of all kinds for forty seconds, then lets the world recover.
+func randomDay(t *testing.T, seed uint64) *sim {
+	s := newSim(t, seed, 5)
+	s.faults = true
+	for n := range 40 {
+		s.after(s.between(0, 30*time.Second), func() {
+			s.submit(s.randomJob(n))
+			if s.rng.IntN(6) == 0 {
+				id := fmt.Sprintf("%016x", n+1)
+				s.after(s.between(0, 8*time.Second), func() { s.cancel(id) })
+			}
+		})
+	}
+	for range 4 {
+		w := s.workers[s.rng.IntN(len(s.workers))]
+		s.after(s.between(time.Second, 35*time.Second), func() {
+			if !w.up {
+				return
+			}
+			s.crash(w)
+			s.after(s.between(100*time.Millisecond, 3*time.Second), func() { s.boot(w) })
+		})
+		c := s.workers[s.rng.IntN(len(s.workers))]
+		s.after(s.between(time.Second, 35*time.Second), func() { c.cut = s.now + s.between(time.Second, 9*time.Second) })
+	}
+	for range 3 { // leaders die; batches under way may still be written before the next one leads
+		s.after(s.between(time.Second, 35*time.Second), func() {
+			if s.core == nil {
+				return
+			}
+			s.core = nil
+			s.after(s.between(50*time.Millisecond, 3*time.Second), s.elect)
+		})
+	}
+	s.after(s.between(time.Second, 35*time.Second), func() { s.down = s.now + s.between(time.Second, 6*time.Second) })
+	s.run(45 * time.Second)
+	s.faults = false
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			r.hangs = false
+		}
+	}
+	s.run(90 * time.Second)
+	return s
+}
+
+// regressions are seeds that have failed once.
+var regressions = []uint64{
+	117,  // a new leader started what the one before had assigned for a job that was cancelled since
+	922,  // a start without an answer had run to its end; the repeated one was stale, and was taken as not run
+	1134, // the same
+}
+
+// A broken rule is found here in seconds, with the seed that repeats it. SIM_SEED plays one seed, SIM_DAYS more days.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	days := uint64(60)
+	first := uint64(1)
+	if v, err := strconv.ParseUint(os.Getenv("SIM_DAYS"), 10, 64); err == nil {
+		days = v
+	}
+	if v, err := strconv.ParseUint(os.Getenv("SIM_SEED"), 10, 64); err == nil {
+		first, days = v, 1
+	}
+	seeds := append([]uint64(nil), regressions...)
+	for seed := first; seed < first+days; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		s := randomDay(t, seed)
+		for _, b := range s.broken {
+			t.Error(b)
+		}
+		for id, j := range s.core.jobs {
+			if len(s.broken) == 0 && !j.state.Final() {
+				t.Errorf("seed %d: LOST: job %s is %s after the recovery: %s", seed, id, j.state, describe(j))
+			}
+		}
+	}
+}
+
+func describe(j *job) string {
+	text := ""
+	j.each(func(t *task) {
+		if t.phase != done {
+			text += fmt.Sprintf("%v phase %d run %d on %s fails %d; ", t.id, t.phase, t.run, t.node, t.fails)
+		}
+	})
+	return text
+}
+
+// Without faults a gang starts on all its workers within the time that its members wait, and no member ends alone.
+func TestGangStartsTogether(t *testing.T) {
+	s := newSim(t, 7, 4)
+	s.run(time.Second)
+	s.submit(batch.Job{ID: "00000000000000aa", Queue: simQueue(1), Steps: []batch.Step{{Count: 4, Gang: true,
+		Estimate: time.Second, Need: batch.Resources{Accelerators: 8}}}})
+	s.run(6 * time.Second)
+	if len(s.broken) > 0 {
+		t.Fatal(s.broken)
+	}
+	if state, _ := s.core.StateOf("00000000000000aa"); state != batch.Completed {
+		t.Fatalf("state %q, want completed", state)
+	}
+}
+
+// An urgent job of four tasks gets room on four full workers at once, not on one after the other: each round of
+// stopping takes up to a fifth of a second of the time in which a guarantee has to be met.
+func TestPreemptionMakesRoomForAllTasksAtOnce(t *testing.T) {
+	s := newSim(t, 3, 4)
+	s.run(time.Second)
+	for n := range 4 {
+		s.submit(batch.Job{ID: fmt.Sprintf("%016x", 0xb0+n), Queue: simQueue(2), Steps: []batch.Step{{Count: 1,
+			Estimate: 20 * time.Second, Need: batch.Resources{Accelerators: 8}}}})
+	}
+	s.run(500 * time.Millisecond)
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			r.left, r.whole = 20*time.Second, 20*time.Second
+		}
+	}
+	s.submit(batch.Job{ID: "00000000000000cc", Queue: simQueue(0), Steps: []batch.Step{{Count: 4,
+		Estimate: time.Second, Need: batch.Resources{Accelerators: 8}}}})
+	began := s.now
+	for s.now-began < 2700*time.Millisecond {
+		s.run(simStep)
+		running := 0
+		for _, w := range s.workers {
+			for id := range w.runs {
+				if id.Job == "00000000000000cc" {
+					running++
+				}
+			}
+		}
+		if running == 4 {
+			if took := s.now - began; took > 700*time.Millisecond {
+				t.Fatalf("all tasks run after %v, want one round of stops (200 ms) and messages", took)
+			}
+			return
+		}
+	}
+	t.Fatal("not all tasks of the urgent job started")
+}
+
+// A worker that is silent for less than its lease keeps its tasks; after that they start elsewhere, once.
+func TestSilentWorkerIsGivenUpAfterItsLeaseOnly(t *testing.T) {
+	s := newSim(t, 5, 2)
+	s.run(time.Second)
+	s.submit(batch.Job{ID: "00000000000000dd", Queue: simQueue(1), Steps: []batch.Step{{Count: 1,
+		Estimate: 30 * time.Second, Need: batch.Resources{Accelerators: 1}}}})
+	s.run(300 * time.Millisecond)
+	holder := s.workers[0]
+	if len(holder.runs) == 0 {
+		holder = s.workers[1]
+	}
+	for _, r := range holder.runs {
+		r.left, r.whole = time.Minute, time.Minute
+	}
+	holder.cut = s.now + time.Minute
+	s.run(simConfig.Lease - 500*time.Millisecond)
+	if n := s.core.Stats().Lost; n != 0 {
+		t.Fatalf("%d runs given up before the lease ended", n)
+	}
+	s.run(3 * time.Second)
+	if len(s.broken) > 0 {
+		t.Fatal(s.broken)
+	}
+	if n := s.core.Stats().Lost; n != 1 {
+		t.Fatalf("%d runs given up after the lease ended, want 1", n)
+	}
+}
+
+// The next leader resumes a lost task from a checkpoint that was seen more than a second before, though nothing else of
+// the job changed.
+func TestCheckpointsOutliveTheLeader(t *testing.T) {
+	c := NewCore(simConfig, 0)
+	wall := time.Unix(1_800_000_000, 0)
+	c.SetCatalog(&batch.Catalog{Version: 1, Queues: []batch.Queue{simQueue(1)}})
+	b := batch.Job{ID: "00000000000000ee", Queue: simQueue(1), AcceptedAt: wall, Steps: []batch.Step{{Count: 1,
+		Checkpoints: true, Estimate: time.Minute, Need: batch.Resources{Accelerators: 1}}}}
+	if err := c.AddJob(b, nil, 0, 0, wall); err != nil {
+		t.Fatal(err)
+	}
+	life := batch.Life{ID: "i", Born: 1}
+	info := &batch.Worker{Life: life, Service: "s", Capacity: batch.Resources{Accelerators: 8}, Sequence: 1}
+	id := batch.TaskID{Job: b.ID}
+	report := func(at time.Duration, running ...batch.RunningTask) {
+		c.Report(Report{Node: "w", Asked: at, Heard: at, Worker: info, Runs: &batch.Runs{Life: life,
+			ClockMS: at.Milliseconds(), Running: running}}, wall)
+	}
+	var record []byte
+	round := func(at time.Duration) {
+		c.Tick(at, wall)
+		for {
+			taken, err := c.Take(changesPerWrite)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if taken == nil {
+				return
+			}
+			record = taken.Changes[0].Record
+			c.Committed(taken, 5, at)
+		}
+	}
+	report(time.Second)
+	round(time.Second)
+	report(2*time.Second, batch.RunningTask{Task: id, Run: 1, Checkpoint: "0001", Percent: 10})
+	round(2 * time.Second)
+	report(3*time.Second, batch.RunningTask{Task: id, Run: 1, Checkpoint: "0002", Percent: 20})
+	round(4 * time.Second)
+	next := NewCore(simConfig, 0)
+	if err := next.AddJob(b, record, 5, 0, wall); err != nil {
+		t.Fatal(err)
+	}
+	if got := next.jobs[b.ID].find(id).checkpoint; got != "0002" {
+		t.Fatalf("checkpoint %q in the record, want 0002", got)
+	}
+}
+
+// Ends must not be forgotten by the worker before every job that they changed is written, also with several writes
+// under way: a leader that dies in between would start work that was done.
+func TestEndsAreForgottenOnlyOnceRecorded(t *testing.T) {
+	c := NewCore(simConfig, 0)
+	wall := time.Unix(1_800_000_000, 0)
+	c.SetCatalog(&batch.Catalog{Version: 1, Queues: []batch.Queue{simQueue(1)}})
+	life := batch.Life{ID: "i", Born: 1}
+	info := &batch.Worker{Life: life, Service: "s", Capacity: batch.Resources{Accelerators: 8}, Sequence: 1}
+	var ids []batch.TaskID
+	for n := range 2 {
+		id := fmt.Sprintf("%016x", 0xf0+n)
+		if err := c.AddJob(batch.Job{ID: id, Queue: simQueue(1), AcceptedAt: wall, Steps: []batch.Step{{Count: 1,
+			Estimate: time.Minute, Need: batch.Resources{Accelerators: 1}}}}, nil, 0, 0, wall); err != nil {
+			t.Fatal(err)
+		}
+		ids = append(ids, batch.TaskID{Job: id})
+	}
+	report := func(at time.Duration, ended ...batch.EndedTask) {
+		c.Report(Report{Node: "w", Asked: at, Heard: at, Worker: info, Runs: &batch.Runs{Life: life,
+			ClockMS: at.Milliseconds(), Ended: ended}}, wall)
+	}
+	report(time.Second)
+	c.Tick(time.Second, wall)
+	first, err := c.Take(changesPerWrite)
+	if err != nil || first == nil {
+		t.Fatal(first, err)
+	}
+	c.Committed(first, 2, time.Second)
+	report(2*time.Second, batch.EndedTask{Number: 1, Task: ids[0], Run: 1, How: batch.EndDone},
+		batch.EndedTask{Number: 2, Task: ids[1], Run: 1, How: batch.EndDone})
+	c.Tick(2*time.Second, wall)
+	one, err := c.Take(1)
+	if err != nil || one == nil {
+		t.Fatal(one, err)
+	}
+	two, err := c.Take(1)
+	if err != nil || two == nil {
+		t.Fatal(two, err)
+	}
+	c.Committed(two, 4, 2*time.Second)
+	if _, _, forget := c.Question("w", 2*time.Second); forget != 0 {
+		t.Fatalf("the worker may forget up to %d while a write is under way", forget)
+	}
+	c.Committed(one, 5, 2*time.Second)
+	if _, _, forget := c.Question("w", 2*time.Second); forget != 2 {
+		t.Fatalf("the worker may forget up to %d after both writes, want 2", forget)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/sim_test.go
@@ -0,0 +1,564 @@
+package scheduler
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/kvstore"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv("SIM_TRACE") == "" { // with it, one seed is traced from decision to decision
+		klog.LogToStderr(false)
+		klog.SetOutput(io.Discard)
+	}
+	os.Exit(m.Run())
+}
+
+// simStep is the resolution of the virtual clock.
+const simStep = 10 * time.Millisecond
+
+// simConfig has the bounds of a small deployment.
+var simConfig = Config{Lease: 4 * time.Second, TakeoverWait: 9 * time.Second, StopTime: 200 * time.Millisecond,
+	GangWait: 3 * time.Second, FarFactor: 3, KeepFinal: time.Hour, Restore: 600 * time.Millisecond}
+
+// simRun is a run on a simulated worker.
+type simRun struct {
+	task   batch.TaskID
+	run    int
+	left   time.Duration // of work
+	whole  time.Duration
+	since  time.Duration
+	stopAt time.Duration // when a stop takes effect; zero: none ordered
+	fails  bool
+	hangs  bool
+}
+
+// simWorker is a worker with its lease and its list of ends. Its clock runs 2% slow.
+type simWorker struct {
+	node    string
+	life    batch.Life
+	up      bool
+	lease   int64 // on its clock
+	started time.Duration
+	fence   int64
+	runs    map[batch.TaskID]*simRun
+	ended   []batch.EndedTask
+	number  int64
+	fenced  map[batch.TaskID]int // the highest run that was stopped or ended
+	cut     time.Duration        // no message passes until then
+	leaving bool
+	void    int64 // ends up to this number came before a lapse: taking note of them binds nobody
+}
+
+func (w *simWorker) clock(now time.Duration) int64 {
+	return (now - w.started).Milliseconds() * 98 / 100
+}
+
+// sim is a leader, its store, its workers and the network between them under a virtual clock, with one random source.
+type sim struct {
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	now     time.Duration
+	base    time.Time
+	core    *Core // nil while no leader is up
+	term    int64
+	termAt  time.Duration
+	workers []*simWorker
+	events  []simEvent
+	store   map[string]stored
+	jobs    map[string]batch.Job
+	rev     kvstore.Revision
+	faults  bool
+	down    time.Duration // the store answers nothing until then
+
+	done      map[batch.TaskID]bool // done for good, or listed and not void yet
+	ever      map[batch.TaskID]bool // has ended done once
+	noted     map[batch.TaskID]bool // the leader let the worker forget that it was done
+	failed    map[batch.TaskID]int
+	cancelled map[string]time.Duration
+	broken    []string
+}
+
+type stored struct {
+	record   []byte
+	revision kvstore.Revision
+}
+
+type simEvent struct {
+	at time.Duration
+	do func()
+}
+
+func newSim(t *testing.T, seed uint64, workers int) *sim {
+	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), base: time.Unix(1_800_000_000, 0),
+		store: map[string]stored{}, jobs: map[string]batch.Job{}, done: map[batch.TaskID]bool{}, ever: map[batch.TaskID]bool{}, noted: map[batch.TaskID]bool{},
+		failed: map[batch.TaskID]int{}, cancelled: map[string]time.Duration{}, now: time.Second}
+	for i := range workers {
+		w := &simWorker{node: fmt.Sprintf("w%d", i)}
+		s.workers = append(s.workers, w)
+		s.boot(w)
+	}
+	s.elect()
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.events = append(s.events, simEvent{s.now + d, do})
+}
+
+func (s *sim) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.rng.Int64N(int64(high-low)+1))
+}
+
+func (s *sim) wall() time.Time { return s.base.Add(s.now) }
+
+func (s *sim) violation(format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf("seed %d at %v: %s", s.seed, s.now, fmt.Sprintf(format, args...)))
+}
+
+// boot starts a new life of a worker.
+func (s *sim) boot(w *simWorker) {
+	w.life = batch.Life{ID: "i-" + w.node, Born: s.wall().UnixMilli()}
+	w.up, w.started, w.lease, w.fence, w.number, w.leaving, w.void = true, s.now, 0, 0, 0, false, 0
+	w.runs, w.fenced, w.ended = map[batch.TaskID]*simRun{}, map[batch.TaskID]int{}, nil
+}
+
+// elect makes a new leader from what the store holds.
+func (s *sim) elect() {
+	s.term++
+	klog.InfoS("SIM leader", "at", s.now, "term", s.term)
+	s.termAt = s.now
+	c := NewCore(simConfig, s.now)
+	s.core = c
+	c.SetCatalog(&batch.Catalog{Version: 1, Queues: []batch.Queue{simQueue(0), simQueue(1), simQueue(2)}})
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j, r := s.jobs[id], s.store[id]
+		if err := c.AddJob(j, r.record, r.revision, s.now, s.wall()); err != nil {
+			s.t.Fatalf("seed %d: %v", s.seed, err)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.cancelled)) {
+		c.Cancel(id, s.now, s.wall())
+	}
+	for _, w := range s.workers {
+		s.ask(w, s.term)
+	}
+}
+
+func simQueue(priority int) batch.Queue {
+	return batch.Queue{Name: fmt.Sprintf("q%d", priority), Service: "s", Priority: priority, MaxAttempts: 4, Slack: 3}
+}
+
+// latency is that of one message.
+func (s *sim) latency() time.Duration { return s.between(time.Millisecond, 25*time.Millisecond) }
+
+// ask is one question of the leader of a term to an agent, again and again.
+func (s *sim) ask(w *simWorker, term int64) {
+	c := s.core
+	if s.term != term || c == nil {
+		return
+	}
+	life, _, forget := c.Question(w.node, s.now)
+	lease, ok := c.Grant(w.node, life)
+	if !ok {
+		lease = 0
+	}
+	asked := s.now
+	again := func(pause time.Duration) { s.after(pause, func() { s.ask(w, term) }) }
+	s.after(s.latency(), func() {
+		if !w.up || s.now < w.cut || term < w.fence {
+			again(300 * time.Millisecond)
+			return
+		}
+		w.fence = term
+		if life == w.life {
+			w.lease = max(w.lease, lease)
+			s.forget(w, forget)
+		}
+		report := Report{Node: w.node, Asked: asked, Worker: &batch.Worker{Life: w.life, Service: "s", Rack: w.node[:1],
+			Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8}, Leaving: w.leaving,
+			Sequence: s.now.Milliseconds()}, Runs: w.list(s.now)}
+		s.after(s.latency(), func() {
+			if s.term == term && s.core == c && s.now >= w.cut {
+				report.Heard = s.now
+				c.Report(report, s.wall())
+			}
+			again(100 * time.Millisecond)
+		})
+	})
+}
+
+// forget drops ends that the leader has taken note of; those that were done stand for good.
+func (s *sim) forget(w *simWorker, n int64) {
+	for len(w.ended) > 0 && w.ended[0].Number <= n {
+		if w.ended[0].How == batch.EndDone && w.ended[0].Number > w.void {
+			s.setDone(w.ended[0].Task)
+			for _, m := range s.members(w.ended[0].Task) {
+				s.noted[m] = true
+			}
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
+// setDone marks a task, or its whole gang, as done.
+func (s *sim) setDone(id batch.TaskID) {
+	for _, m := range s.members(id) {
+		s.done[m], s.ever[m] = true, true
+	}
+}
+
+// members returns a task, or all tasks of its gang.
+func (s *sim) members(id batch.TaskID) []batch.TaskID {
+	if !s.step(id).Gang {
+		return []batch.TaskID{id}
+	}
+	var all []batch.TaskID
+	for n := range s.step(id).Count {
+		id.Index = n
+		all = append(all, id)
+	}
+	return all
+}
+
+func (w *simWorker) sorted() []*simRun {
+	return slices.SortedFunc(maps.Values(w.runs), func(a, b *simRun) int { return a.task.Compare(b.task) })
+}
+
+func (w *simWorker) list(now time.Duration) *batch.Runs {
+	runs := &batch.Runs{Life: w.life, ClockMS: w.clock(now), Ended: append([]batch.EndedTask(nil), w.ended...)}
+	for _, r := range w.sorted() {
+		runs.Running = append(runs.Running, batch.RunningTask{Task: r.task, Run: r.run,
+			Percent: int(100 * (r.whole - r.left) / r.whole)})
+	}
+	return runs
+}
+
+// send delivers an order of a term. With faults, answers are lost and orders come late.
+func (s *sim) send(o Order, term int64) {
+	c := s.core
+	w := s.workers[0]
+	for _, x := range s.workers {
+		if x.node == o.Node {
+			w = x
+		}
+	}
+	lease, ok := c.Grant(o.Node, o.Life)
+	answer := func(v batch.Verdict) {
+		s.after(s.latency(), func() {
+			if s.core == c {
+				c.Answered(o, v, "", s.now, s.wall())
+			}
+		})
+	}
+	if o.Kind == OrderStart && !ok {
+		answer(batch.Refused)
+		return
+	}
+	carry := func() batch.Verdict { return s.carry(w, o, term, lease) }
+	switch {
+	case s.faults && s.rng.Float64() < 0.05: // carried out late, never answered
+		s.after(s.between(2*time.Second, 12*time.Second), func() {
+			if w.up {
+				carry()
+			}
+		})
+		s.after(400*time.Millisecond, func() { answer(batch.Unknown) })
+	case s.now < w.cut || !w.up:
+		s.after(400*time.Millisecond, func() { answer(batch.Unknown) })
+	default:
+		s.after(s.latency(), func() {
+			if !w.up {
+				answer(batch.Unknown)
+				return
+			}
+			v := carry()
+			if s.faults && s.rng.Float64() < 0.05 {
+				v = batch.Unknown
+			}
+			answer(v)
+		})
+	}
+}
+
+// carry lets a worker carry out an order.
+func (s *sim) carry(w *simWorker, o Order, term, lease int64) batch.Verdict {
+	if term < w.fence {
+		return batch.Fenced
+	}
+	w.fence = term
+	if o.Life != w.life {
+		return batch.OldLife
+	}
+	if o.Kind == OrderStop {
+		w.fenced[o.Task] = max(w.fenced[o.Task], o.Run)
+		if r := w.runs[o.Task]; r != nil && r.run == o.Run && r.stopAt == 0 {
+			r.stopAt = s.now + s.between(50*time.Millisecond, 190*time.Millisecond)
+		}
+		return batch.Accepted
+	}
+	if r := w.runs[o.Task]; r != nil && r.run == o.Run {
+		return batch.Accepted
+	}
+	switch {
+	case lease <= w.clock(s.now):
+		return batch.Late
+	case o.Run <= w.fenced[o.Task]:
+		return batch.Stale
+	}
+	used := 0
+	for _, r := range w.runs {
+		used += s.step(r.task).Need.Accelerators
+	}
+	if used+s.step(o.Task).Need.Accelerators > 8 {
+		return batch.NoRoom
+	}
+	s.checkStart(w, o)
+	w.lease = max(w.lease, lease)
+	work := s.between(500*time.Millisecond, 3*time.Second)
+	w.runs[o.Task] = &simRun{task: o.Task, run: o.Run, left: work, whole: work, since: s.now,
+		fails: s.faults && s.rng.Float64() < 0.04, hangs: s.faults && s.rng.Float64() < 0.02}
+	return batch.Accepted
+}
+
+func (s *sim) step(id batch.TaskID) *batch.Step {
+	j := s.jobs[id.Job]
+	return &j.Steps[id.Step]
+}
+
+// checkStart checks the rules that a start can break.
+func (s *sim) checkStart(w *simWorker, o Order) {
+	for _, x := range s.workers {
+		if r := x.runs[o.Task]; x != w && x.up && r != nil {
+			s.violation("TWICE: %v run %d starts on %s while run %d is on %s", o.Task, o.Run, w.node, r.run, x.node)
+		}
+	}
+	if s.done[o.Task] {
+		s.violation("TWICE: %v run %d starts after it was done", o.Task, o.Run)
+	}
+	if s.failed[o.Task] >= simQueue(0).MaxAttempts {
+		s.violation("BUDGET: %v run %d starts after %d failures", o.Task, o.Run, s.failed[o.Task])
+	}
+	if at, ok := s.cancelled[o.Task.Job]; ok && s.now > at+simConfig.Lease+3*time.Second {
+		s.violation("UNASKED: %v starts %v after its cancellation", o.Task, s.now-at)
+	}
+	j := s.jobs[o.Task.Job]
+	for _, a := range s.step(o.Task).After {
+		for n := range j.Steps[a].Count {
+			if !s.ever[batch.TaskID{Job: j.ID, Occurrence: o.Task.Occurrence, Step: a, Index: n}] {
+				s.violation("ORDER: %v starts before step %d has ended", o.Task, a)
+			}
+		}
+	}
+	if o.Payload != j.Payload {
+		s.violation("UNASKED: %v starts with another payload", o.Task)
+	}
+}
+
+// work moves the runs of a worker on.
+func (s *sim) work(w *simWorker) {
+	if !w.up {
+		return
+	}
+	lapsed := w.lease <= w.clock(s.now)
+	if lapsed {
+		s.void(w)
+	}
+	for _, r := range w.sorted() {
+		switch {
+		case lapsed:
+			s.end(w, r, batch.EndLapsed)
+		case r.stopAt != 0 && s.now >= r.stopAt:
+			s.end(w, r, batch.EndStopped)
+		case s.step(r.task).Gang && !s.gangComplete(r):
+			if s.now-r.since > simConfig.GangWait {
+				if !s.faults {
+					s.violation("GANG: %v run %d ended alone", r.task, r.run)
+				}
+				s.end(w, r, batch.EndAlone)
+			}
+		case r.hangs:
+		default:
+			if r.left -= simStep; r.left <= 0 {
+				if r.fails {
+					s.end(w, r, batch.EndFailed)
+				} else {
+					s.end(w, r, batch.EndDone)
+				}
+			}
+		}
+	}
+}
+
+// gangComplete reports whether all members of a run are present, or some have ended by being done.
+func (s *sim) gangComplete(r *simRun) bool {
+	for n := range s.step(r.task).Count {
+		id := r.task
+		id.Index = n
+		found := s.done[id]
+		for _, w := range s.workers {
+			if m := w.runs[id]; m != nil && m.run == r.run {
+				found = true
+			}
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sim) end(w *simWorker, r *simRun, how batch.How) {
+	klog.InfoS("SIM end", "at", s.now, "node", w.node, "task", r.task, "run", r.run, "how", how)
+	delete(w.runs, r.task)
+	w.number++
+	w.fenced[r.task] = max(w.fenced[r.task], r.run)
+	w.ended = append(w.ended, batch.EndedTask{Number: w.number, Task: r.task, Run: r.run, How: how})
+	switch how {
+	case batch.EndDone:
+		s.setDone(r.task)
+	case batch.EndFailed:
+		s.failed[r.task]++
+	}
+}
+
+// void takes back the ends that nobody has taken note of, as a lapsed lease or a crash does.
+func (s *sim) void(w *simWorker) {
+	w.void = w.number
+	for _, e := range w.ended {
+		if e.How != batch.EndDone {
+			continue
+		}
+		for _, m := range s.members(e.Task) {
+			if !s.noted[m] {
+				delete(s.done, m)
+			}
+		}
+	}
+}
+
+func (s *sim) crash(w *simWorker) {
+	klog.InfoS("SIM crash", "at", s.now, "node", w.node)
+	s.void(w)
+	for _, e := range w.ended {
+		if e.How == batch.EndFailed {
+			s.failed[e.Task]--
+		}
+	}
+	w.up = false
+	w.runs = map[batch.TaskID]*simRun{}
+}
+
+// lead is one round of the leader's main loop.
+func (s *sim) lead() {
+	c, term := s.core, s.term
+	if c == nil {
+		return
+	}
+	c.Tick(s.now, s.wall())
+	for _, o := range c.Orders() {
+		s.send(o, term)
+	}
+	b, err := c.Take(changesPerWrite)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if b == nil {
+		return
+	}
+	s.after(max(s.latency(), s.down-s.now), func() {
+		if s.term != term { // fenced by the key of the new leader
+			return
+		}
+		s.rev++
+		for _, ch := range b.Changes {
+			if ch.Forget {
+				delete(s.store, ch.Job)
+			} else {
+				s.store[ch.Job] = stored{ch.Record, s.rev}
+			}
+		}
+		rev := s.rev
+		s.after(s.latency(), func() {
+			if s.core == c {
+				for _, o := range c.Committed(b, rev, s.now) {
+					s.send(o, term)
+				}
+			}
+		})
+	})
+}
+
+// run moves the world on.
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end && len(s.broken) == 0; s.now += simStep {
+		for {
+			due := -1
+			for i, e := range s.events {
+				if e.at <= s.now && (due < 0 || e.at < s.events[due].at) {
+					due = i
+				}
+			}
+			if due < 0 {
+				break
+			}
+			do := s.events[due].do
+			s.events = append(s.events[:due], s.events[due+1:]...)
+			do()
+		}
+		for _, w := range s.workers {
+			s.work(w)
+		}
+		if s.now.Milliseconds()%30 == 0 {
+			s.lead()
+		}
+	}
+}
+
+func (s *sim) submit(j batch.Job) {
+	j.AcceptedAt = s.wall()
+	s.jobs[j.ID] = j
+	if s.core != nil {
+		if err := s.core.AddJob(j, nil, 0, s.now, s.wall()); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+func (s *sim) cancel(id string) {
+	if _, ok := s.cancelled[id]; ok {
+		return
+	}
+	s.cancelled[id] = s.now
+	if s.core != nil {
+		s.core.Cancel(id, s.now, s.wall())
+	}
+}
+
+// randomJob draws a job of one to three steps.
+func (s *sim) randomJob(n int) batch.Job {
+	q := simQueue(s.rng.IntN(3))
+	j := batch.Job{ID: fmt.Sprintf("%016x", n+1), Queue: q, Payload: fmt.Sprint("payload ", n)}
+	for i := range 1 + s.rng.IntN(3) {
+		step := batch.Step{Count: 1 + s.rng.IntN(4), Estimate: 2 * time.Second, Gang: s.rng.IntN(3) == 0,
+			Need:        batch.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1 << s.rng.IntN(4)},
+			OneRack:     s.rng.IntN(3) == 0,
+			Checkpoints: s.rng.IntN(2) == 0}
+		if i > 0 && s.rng.IntN(2) == 0 {
+			step.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	return j
+}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -127,7 +127,7 @@
 	revision kvstore.Revision // of the record; zero: not recorded yet
 	dirty    bool
 	writing  bool
-	unsaved  bool // a checkpoint has come that is not recorded
+	unsaved  bool    // a checkpoint has come that is not recorded
 	orders   []Order // to be sent once the record is written
 }
 
@@ -170,7 +170,11 @@
 
 // each calls f for all tasks of the open occurrences.
 func (j *job) each(f func(*task)) {
-	for _, o := range j.occurrences {
+	for number := range j.next {
+		o := j.occurrences[number]
+		if o == nil {
+			continue
+		}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				f(t)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -37,6 +39,10 @@
 			strayStops: map[string]time.Duration{}}
 		w.expires = max(w.expires, now)
 		c.workers[node] = w
+		at, _ := slices.BinarySearchFunc(c.fleet, node, func(o *worker, node string) int {
+			return cmp.Compare(o.node, node)
+		})
+		c.fleet = slices.Insert(c.fleet, at, w)
 	}
 	return w
 }
@@ -48,6 +54,16 @@
 	return w.info.Life
 }
 
+// sorted returns the tasks of the worker in the order of their ids.
+func (w *worker) sorted() []*task {
+	tasks := make([]*task, 0, len(w.tasks))
+	for t := range w.tasks {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, func(a, b *task) int { return a.id.Compare(b.id) })
+	return tasks
+}
+
 // used returns what the tasks of the worker take, those that are being stopped included.
 func (w *worker) used() batch.Resources {
 	var r batch.Resources
@@ -69,11 +85,15 @@
 	if w == nil || !w.heard || w.info == nil || w.life() != life {
 		return 0, false
 	}
-	span := time.Duration(float64(c.config.Lease) * clockTolerance)
-	w.expires = max(w.expires, w.clockAt+span+leaseMargin)
+	w.expires = max(w.expires, w.clockAt+c.leaseSpan())
 	return w.clockMS + c.config.Lease.Milliseconds(), true
 }
 
+// leaseSpan returns how long a lease that is granted now may keep tasks running.
+func (c *Core) leaseSpan() time.Duration {
+	return time.Duration(float64(c.config.Lease)*clockTolerance) + leaseMargin
+}
+
 // Question returns what the leader asks an agent next: the life that it knows, the last announcement, and the end up to
 // which the worker may forget.
 func (c *Core) Question(node string, now time.Duration) (life batch.Life, sequence, forget int64) {
@@ -81,7 +101,7 @@
 	if w.info != nil {
 		return w.info.Life, w.info.Sequence, w.forgetEnd
 	}
-	for t := range w.tasks { // recorded by a leader before
+	for _, t := range w.sorted() { // recorded by a leader before
 		return t.life, 0, 0
 	}
 	return batch.Life{}, 0, 0
@@ -112,6 +132,8 @@
 		klog.InfoS("Worker reached", "node", w.node, "worker", w.info.Life, "running", len(r.Runs.Running),
 			"ended", len(r.Runs.Ended))
 		c.changed = true
+		// The agent obeys this leader now, so the one before can extend no lease any more.
+		w.expires = r.Heard + c.leaseSpan()
 	}
 	w.heard, w.asked, w.clockMS, w.clockAt = true, r.Asked, r.Runs.ClockMS, r.Heard
 	c.ends(w, r.Runs.Ended, r.Heard, wall)
@@ -147,7 +169,7 @@
 			"silentMs", (now - w.clockAt).Milliseconds(), "heard", w.heard)
 		c.loseTasks(w, "lease expired", now, wall)
 	}
-	for t := range w.tasks {
+	for _, t := range w.sorted() {
 		if t.phase == stopping && now-t.stopAt >= stopRepeat && now-w.clockAt <= freshFor {
 			c.sendStop(t, now)
 		}
@@ -156,14 +178,14 @@
 
 // loseTasks takes all tasks of a worker as ended without an outcome.
 func (c *Core) loseTasks(w *worker, reason string, now time.Duration, wall time.Time) {
-	for t := range w.tasks {
+	for _, t := range w.sorted() {
 		c.lose(t, reason, now, wall)
 	}
 }
 
 // loseOthers is loseTasks for the tasks of lives other than the present one.
 func (c *Core) loseOthers(w *worker, reason string, now time.Duration, wall time.Time) {
-	for t := range w.tasks {
+	for _, t := range w.sorted() {
 		if t.life != w.info.Life {
 			c.lose(t, reason, now, wall)
 		}
