--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -34,6 +34,9 @@
 	Unclear Answer = "unclear"
 )
 
+// ErrTooLarge is returned by the parser of a submission whose body exceeds MaxBody.
+var ErrTooLarge = errors.New("the body is too large")
+
 // Request is one call of a caller.
 type Request struct {
 	Host, Path, Key string
@@ -216,6 +219,9 @@
 		job.ID, job.Queue, job.Team, job.AcceptedAt = a.rest, *a.queue, a.team, time.Now()
 		err = job.Validate()
 	}
+	if errors.Is(err, ErrTooLarge) {
+		return s.log("Submission refused", r, a, started, Response{Answer: TooLarge, Reason: err.Error()})
+	}
 	if err != nil {
 		return s.log("Submission refused", r, a, started, Response{Answer: Invalid, Reason: err.Error()})
 	}
