--- a/cmd/masticcartd/main.go
+++ b/cmd/masticcartd/main.go
@@ -111,13 +111,16 @@
 }
 
 // runHosted runs an entry or an agent on the users' platform.
-func runHosted(context.Context, *cli.Command) error {
+func runHosted(ctx context.Context, _ *cli.Command) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
 	lines := logging.UseJSON(s.Node)
 	defer lines.Flush()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hosted.WatchReloads(ctx, s, platform.LoadSettings)
 	app := hosted.New(s)
 	if err := app.Err(); err != nil {
 		return err
