A member of a gang that waits for the others at 100 percent does not stand still

Ruled out: the leader's processor time. Also: what preemption may cost is measured by how long the tasks of the queue take, where estimates are too low.

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -95,7 +95,8 @@
 
 // worthStopping returns the loss, in core-seconds, up to which stopping other work for n tasks of the unit pays.
 func (p *planner) worthStopping(u unit, n int) float64 {
-	return maxLossRatio * float64(n) * u.step.spec.Need.Cores() * p.core.expected(u.step).Seconds()
+	takes := max(p.core.expected(u.step), p.core.duration(u.queue.Name).mean) // estimates may be far too low
+	return maxLossRatio * float64(n) * u.step.spec.Need.Cores() * takes.Seconds()
 }
 
 // maxLossRatio is the loss that preemption may cause, as a multiple of the work that it serves in time. A late urgent
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -23,13 +23,16 @@
 	crawlAfter = 900 * time.Millisecond
 	// crawlSlack is what a move has to save.
 	crawlSlack = 500 * time.Millisecond
+	// wholeWork is the percentage of a member of a gang that waits for the others to end.
+	wholeWork = 100
 	// maxMoves bounds the moves of one task, in case it is the task that is slow.
 	maxMoves = 1
 )
 
 // straggling returns why a run should be stopped and started elsewhere, or an empty string.
 func (c *Core) straggling(t *task, now time.Duration) string {
-	if t.phase != assigned || !t.confirmed || t.startPct < 0 || t.moves >= maxMoves || t.step.spec.Lasting {
+	if t.phase != assigned || !t.confirmed || t.startPct < 0 || t.moves >= maxMoves || t.step.spec.Lasting ||
+		t.percent >= wholeWork {
 		return ""
 	}
 	usual := max(c.expected(t.step), c.duration(t.step.job().Queue.Name).mean)
