Keep claimed room from other jobs; guaranteed jobs first; cheaper plans

Plans also forecast room for every waiting unit. Ruled out: the guarantee's sum (24 of 24 accelerators in the leader's view as well). Each new test fails without its change.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -26,7 +26,9 @@
 	step   *stepRun
 	tasks  []*task
 	queue  *batch.Queue
-	latest time.Duration // start by then to meet the latency objective
+	latest time.Duration   // start by then to meet the latency objective
+	sure   bool            // within the guarantee of its team, so that it has to start in time
+	avoid  map[string]bool // workers on which a task of the unit failed; nil if none
 }
 
 // plan places waiting tasks: the most urgent first, others into the room that those cannot use.
@@ -40,6 +42,9 @@
 	p := &planner{core: c, now: now, free: free, reserved: map[string]time.Duration{}}
 	p.spareRoom = c.urgent.headroom()
 	c.dropClaims(now)
+	for _, cl := range c.claims {
+		p.keepClaim(cl) // others must not use what is being freed for a step
+	}
 	for _, u := range c.units(now) {
 		p.place(u)
 	}
@@ -62,11 +67,23 @@
 		}
 	}
 	slices.SortStableFunc(us, func(a, b unit) int {
-		return cmp.Or(cmp.Compare(a.queue.Priority, b.queue.Priority), cmp.Compare(a.latest, b.latest))
+		return cmp.Or(cmp.Compare(a.queue.Priority, b.queue.Priority), -compareBool(a.sure, b.sure),
+			cmp.Compare(a.latest, b.latest))
 	})
 	return us
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 func (c *Core) appendUnit(us []unit, s *stepRun, now time.Duration) []unit {
 	u := unit{step: s, queue: c.queue(s.job())}
 	for _, t := range s.tasks {
@@ -77,7 +94,16 @@
 	if len(u.tasks) == 0 || s.spec.Gang && len(u.tasks) < s.spec.Count {
 		return us
 	}
+	for _, t := range u.tasks {
+		for node := range t.failedOn {
+			if u.avoid == nil {
+				u.avoid = map[string]bool{}
+			}
+			u.avoid[node] = true
+		}
+	}
 	u.latest = c.deadline(s, now) - c.chain(s)
+	u.sure = u.queue.Priority == 0 && c.guaranteed(s.job())
 	return append(us, u)
 }
 
@@ -120,36 +146,47 @@
 	free     map[string]batch.Resources
 	reserved map[string]time.Duration // from when a worker's room is kept for a more urgent unit
 	kept     int
+	releases []release // nil until they are asked for
 	// spareRoom is the number of accelerators that less urgent units leave free while they can wait.
 	spareRoom float64
 }
 
 // place assigns a unit, claims room for it, or keeps room that becomes free for it.
 func (p *planner) place(u unit) {
-	s := u.step
-	if !s.spec.Gang {
-		rest := u.tasks[:0]
-		for _, t := range u.tasks {
-			if nodes := p.choose(u, 1, true); nodes != nil {
-				p.assign(u, []*task{t}, nodes)
-			} else {
-				rest = append(rest, t)
-			}
+	cl := p.core.claims[u.step]
+	if cl != nil {
+		p.giveBack(cl)
+	}
+	if u.step.spec.Gang {
+		if nodes := p.choose(u, len(u.tasks), true); nodes != nil {
+			p.assign(u, u.tasks, nodes)
+			u.tasks = nil
 		}
-		if u.tasks = rest; len(rest) > 0 {
-			p.await(u, len(rest))
+	} else {
+		for len(u.tasks) > 0 {
+			nodes := p.choose(u, 1, true)
+			if nodes == nil {
+				break // the tasks of a step are alike
+			}
+			p.assign(u, u.tasks[:1], nodes)
+			u.tasks = u.tasks[1:]
 		}
-		return
 	}
-	if nodes := p.choose(u, len(u.tasks), true); nodes != nil {
-		p.assign(u, u.tasks, nodes)
-		return
+	if cl := p.core.claims[u.step]; cl != nil {
+		p.keepClaim(cl)
+	}
+	if len(u.tasks) > 0 {
+		p.await(u, len(u.tasks))
 	}
-	p.await(u, len(u.tasks))
 }
 
 // candidates returns the workers that may run tasks of the step, with what is free on them.
 func (p *planner) candidates(u unit, free map[string]batch.Resources, backfill bool) []candidate {
+	return p.eligible(u, free, backfill, false)
+}
+
+// eligible is candidates; with all it includes workers on which nothing fits now.
+func (p *planner) eligible(u unit, free map[string]batch.Resources, backfill, all bool) []candidate {
 	s := u.step
 	need := s.spec.Reserved()
 	end := p.now + p.core.expected(s)
@@ -166,12 +203,10 @@
 		if s.spec.MaxPerWorker > 0 {
 			cand.copies = min(cand.copies, s.spec.MaxPerWorker-s.on(w.node))
 		}
-		if cand.copies <= 0 {
+		if cand.copies <= 0 && !all {
 			continue
 		}
-		for _, t := range u.tasks {
-			cand.avoided = cand.avoided || t.failedOn[w.node]
-		}
+		cand.avoided = u.avoid[w.node]
 		cs = append(cs, cand)
 	}
 	return cs
@@ -330,56 +365,97 @@
 
 // await claims room for n tasks by preemption if the unit may do so and cannot wait, or keeps room that becomes free.
 func (p *planner) await(u unit, n int) {
-	cl := p.core.claims[u.step]
-	if cl != nil {
-		p.keepClaim(cl)
+	if cl := p.core.claims[u.step]; cl != nil {
 		n -= len(cl.nodes)
 	}
 	if n <= 0 {
 		return
 	}
-	at, nodes := p.forecast(u, n)
-	if u.queue.Priority == 0 && (nodes == nil || at > p.now+preemptPatience) {
+	if u.queue.Priority == 0 {
+		if _, nodes := p.forecast(u, n, p.now+preemptPatience); nodes != nil {
+			return
+		}
 		if more := p.preempt(u, n); more != nil {
 			p.keepClaim(more)
 			p.core.addClaim(u.step, more)
 			return
 		}
 	}
-	if nodes != nil && p.kept < reservations {
-		p.reserve(at, nodes)
+	if p.kept < reservations {
+		if at, nodes := p.forecast(u, n, forever); nodes != nil {
+			p.reserve(at, nodes)
+		}
 	}
 }
 
-// preemptPatience is the wait for room that becomes free by itself: about the time that stopping takes. Longer waits
-// would have to trust estimates, and work that starts too late costs more than work that starts again.
-const preemptPatience = 150 * time.Millisecond
+const (
+	// preemptPatience is the wait for room that becomes free by itself: about the time that stopping takes. Longer
+	// waits would have to trust estimates, and work that starts too late costs more than work that starts again.
+	preemptPatience = 150 * time.Millisecond
+	// forever is later than any task ends.
+	forever = time.Duration(math.MaxInt64)
+)
 
-// forecast returns the earliest time at which n tasks of the unit, or one task of a step without a gang, fit as running
-// tasks end, and the workers.
-func (p *planner) forecast(u unit, n int) (time.Duration, []string) {
-	if !u.step.spec.Gang {
-		n = 1
-	}
-	type release struct {
-		at   time.Duration
-		node string
-		r    batch.Resources
+// release is room that becomes free when a task ends.
+type release struct {
+	at   time.Duration
+	node string
+	room batch.Resources
+}
+
+// upcoming returns the releases of all running tasks, the earliest first. They are the same for all units of a plan.
+func (p *planner) upcoming() []release {
+	if p.releases != nil {
+		return p.releases
 	}
-	var releases []release
+	p.releases = []release{}
 	for _, w := range p.core.fleet {
 		if _, ok := p.free[w.node]; !ok {
 			continue
 		}
 		for _, t := range w.sorted() {
-			releases = append(releases, release{p.now + p.core.remaining(t, p.now), w.node, t.step.spec.Reserved()})
+			p.releases = append(p.releases, release{p.now + p.core.remaining(t, p.now), w.node, t.step.spec.Reserved()})
 		}
 	}
-	slices.SortFunc(releases, func(a, b release) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.node, b.node)) })
-	free := maps.Clone(p.free)
-	for _, r := range releases {
-		free[r.node] = free[r.node].Plus(r.r)
-		if nodes := p.chooseFrom(u, n, p.candidates(u, free, false)); nodes != nil {
+	slices.SortStableFunc(p.releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
+	return p.releases
+}
+
+// forecast returns the earliest time, up to a limit, at which n tasks of the unit, or one task of a step without a gang,
+// fit as running tasks end, and the workers.
+func (p *planner) forecast(u unit, n int, limit time.Duration) (time.Duration, []string) {
+	if !u.step.spec.Gang {
+		n = 1
+	}
+	need := u.step.spec.Reserved()
+	cs := p.eligible(u, p.free, false, true)
+	index := make(map[string]int, len(cs))
+	copies := 0
+	for i, c := range cs {
+		index[c.node] = i
+		copies += max(c.copies, 0)
+	}
+	for _, r := range p.upcoming() {
+		if r.at > limit {
+			break
+		}
+		i, ok := index[r.node]
+		if !ok {
+			continue
+		}
+		c := &cs[i]
+		copies -= max(c.copies, 0)
+		c.free = c.free.Plus(r.room)
+		c.copies = need.Copies(c.free)
+		if m := u.step.spec.MaxPerWorker; m > 0 {
+			c.copies = min(c.copies, m-u.step.on(c.node))
+		}
+		copies += max(c.copies, 0)
+		if copies < n {
+			continue
+		}
+		fitting := slices.DeleteFunc(slices.Clone(cs), func(c candidate) bool { return c.copies <= 0 })
+		if nodes := p.chooseFrom(u, n, fitting); nodes != nil {
 			return r.at, nodes
 		}
 	}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// giveBack lets the owner of a claim use its room.
+func (p *planner) giveBack(cl *claim) {
+	for _, node := range cl.nodes {
+		if room, ok := p.free[node]; ok {
+			p.free[node] = room.Plus(cl.need)
+		}
+	}
+}
+
 // preempt stops less important tasks so that n tasks of the unit fit, or as many as possible if they start
 // independently. It chooses the workers on which the least work is lost.
 func (p *planner) preempt(u unit, n int) *claim {
@@ -76,7 +85,7 @@
 			best = e
 		}
 	}
-	if best == nil || best.cost > p.worthStopping(u, len(best.nodes)) && !p.core.guaranteed(u) {
+	if best == nil || best.cost > p.worthStopping(u, len(best.nodes)) && !u.sure {
 		return nil
 	}
 	cl := &claim{until: p.now + claimFor, nodes: best.nodes, need: need}
@@ -103,10 +112,10 @@
 // job loses most of its worth.
 const maxLossRatio = 2.0
 
-// guaranteed reports whether the accelerators of all open urgent jobs of the team are within its guarantee, so that the
-// unit has to start whatever it costs.
-func (c *Core) guaranteed(u unit) bool {
-	team := c.catalog.Team(u.step.job().Team)
+// guaranteed reports whether the accelerators of all open urgent jobs of the job's team are within its guarantee, so that
+// the job has to start whatever it costs.
+func (c *Core) guaranteed(of *job) bool {
+	team := c.catalog.Team(of.Team)
 	if team == nil {
 		return false
 	}
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -277,3 +277,153 @@
 		t.Fatalf("the worker may forget up to %d after both writes, want 2", forget)
 	}
 }
+
+// fixture is a core with workers that report what the test says.
+type fixture struct {
+	t    *testing.T
+	c    *Core
+	wall time.Time
+}
+
+func newFixture(t *testing.T, nodes ...string) *fixture {
+	f := &fixture{t: t, c: NewCore(simConfig, 0), wall: time.Unix(1_800_000_000, 0)}
+	f.c.SetCatalog(&batch.Catalog{Version: 1, Queues: []batch.Queue{simQueue(0), simQueue(1), simQueue(2)}})
+	for _, n := range nodes {
+		f.report(n, 0)
+	}
+	return f
+}
+
+func (f *fixture) report(node string, at time.Duration, running ...batch.RunningTask) {
+	life := batch.Life{ID: node, Born: 1}
+	f.c.Report(Report{Node: node, Asked: at, Heard: at, Worker: &batch.Worker{Life: life, Service: "s", Rack: "r",
+		Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8}, Sequence: at.Milliseconds() + 1},
+		Runs: &batch.Runs{Life: life, ClockMS: at.Milliseconds(), Running: running}}, f.wall)
+	f.c.Grant(node, life) // as with the next question
+}
+
+func (f *fixture) submit(id string, priority int, at time.Duration, steps ...batch.Step) {
+	f.t.Helper()
+	if err := f.c.AddJob(batch.Job{ID: id, Queue: simQueue(priority), AcceptedAt: f.wall, Steps: steps}, nil, 0, at, f.wall); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// settle plans, writes at once, and takes all starts as accepted. It returns the orders that were sent.
+func (f *fixture) settle(at time.Duration) []Order {
+	f.t.Helper()
+	f.c.Tick(at, f.wall)
+	orders := f.c.Orders()
+	for {
+		b, err := f.c.Take(changesPerWrite)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if b == nil {
+			break
+		}
+		for _, o := range f.c.Committed(b, 1, at) {
+			f.c.Answered(o, batch.Accepted, "", at, f.wall)
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+// The members of a gang end together: one that has done its part shows 100 percent until the others have. Stopping it
+// threw away gangs that were nearly done.
+func TestMemberThatWaitsForTheOthersIsNotStopped(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.submit("00000000000000a1", 1, 0, batch.Step{Count: 2, Gang: true, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+	f.settle(0)
+	for at := time.Second; at < 10*time.Second; at += 400 * time.Millisecond {
+		for node, percent := range map[string]int{"a": 100, "b": int(at / (200 * time.Millisecond))} {
+			for id := range f.c.workers[node].tasks {
+				f.report(node, at, batch.RunningTask{Task: id.id, Run: 1, Percent: percent})
+			}
+		}
+		for _, o := range f.settle(at) {
+			t.Fatalf("at %v: %s of %v", at, o.Kind, o.Task)
+		}
+	}
+}
+
+// A task that makes no progress is stopped, and starts on another worker.
+func TestTaskThatStandsStillMoves(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.submit("00000000000000a2", 1, 0, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 1}})
+	f.settle(0)
+	id := batch.TaskID{Job: "00000000000000a2"}
+	node := f.c.jobs[id.Job].find(id).node
+	for at := 400 * time.Millisecond; at < 4*time.Second; at += 400 * time.Millisecond {
+		f.report(node, at, batch.RunningTask{Task: id, Run: 1, Percent: 30})
+		for _, o := range f.settle(at) {
+			if o.Kind == OrderStop {
+				return
+			}
+		}
+	}
+	t.Fatal("the task was not stopped")
+}
+
+// Room that is being freed for one urgent job is not given to another that is planned before it: the first would have
+// to stop more work, and might miss the bound of its guarantee.
+func TestClaimedRoomIsKeptFromOtherJobs(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	for _, id := range []string{"00000000000000b1", "00000000000000b2"} {
+		f.submit(id, 2, 0, batch.Step{Count: 1, Estimate: time.Minute, Need: batch.Resources{Accelerators: 8}})
+	}
+	f.settle(0)
+	all := batch.Step{Count: 1, Estimate: 10 * time.Second, Need: batch.Resources{Accelerators: 8}}
+	f.submit("00000000000000c1", 0, time.Second, all)
+	first := f.settle(time.Second)
+	if len(first) != 1 || first[0].Kind != OrderStop {
+		t.Fatalf("orders %+v, want one stop", first)
+	}
+	all.Estimate = time.Second // more urgent
+	f.submit("00000000000000c2", 0, time.Second, all)
+	second := f.settle(1100 * time.Millisecond)
+	if len(second) != 1 || second[0].Kind != OrderStop || second[0].Node == first[0].Node {
+		t.Fatalf("orders %+v, want a stop on the other worker than %s", second, first[0].Node)
+	}
+	f.report(first[0].Node, 1300*time.Millisecond)
+	f.c.Answered(first[0], batch.Accepted, "", 1150*time.Millisecond, f.wall)
+	f.report(first[0].Node, 1500*time.Millisecond)
+	for _, o := range f.settle(1500 * time.Millisecond) {
+		if o.Kind == OrderStart && o.Task.Job != "00000000000000c1" {
+			t.Fatalf("the room went to %v", o.Task)
+		}
+	}
+}
+
+// The plan of one leader for seventy workers with a long queue, as on the grown deployments.
+func BenchmarkPlan(b *testing.B) {
+	for _, workers := range []int{70, 300, 1000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			wall := time.Unix(1_800_000_000, 0)
+			c := NewCore(simConfig, 0)
+			c.SetCatalog(&batch.Catalog{Version: 1, Queues: []batch.Queue{simQueue(0), simQueue(1), simQueue(2)}})
+			for n := range workers {
+				life := batch.Life{ID: fmt.Sprint(n), Born: 1}
+				c.Report(Report{Node: fmt.Sprintf("w%04d", n), Worker: &batch.Worker{Life: life, Service: "s",
+					Rack: fmt.Sprint("r", n/5), Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8},
+					Sequence: 1}, Runs: &batch.Runs{Life: life}}, wall)
+			}
+			for n := range workers / 2 {
+				step := batch.Step{Count: 30, Estimate: 10 * time.Second, Need: batch.Resources{Accelerators: 1}}
+				if n%3 == 0 {
+					step = batch.Step{Count: 7, Gang: true, OneRack: true, Estimate: 10 * time.Second, Need: batch.Resources{Accelerators: 8}}
+				}
+				if err := c.AddJob(batch.Job{ID: fmt.Sprintf("%016x", n), Queue: simQueue(1 + n%2), AcceptedAt: wall,
+					Steps: []batch.Step{step}}, nil, 0, 0, wall); err != nil {
+					b.Fatal(err)
+				}
+			}
+			c.Tick(time.Millisecond, wall)
+			b.ResetTimer()
+			for range b.N {
+				c.plan(2 * time.Millisecond)
+			}
+		})
+	}
+}
