--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,11 @@
 	[ -x "$$linter" ] || { $(GO) install $(LINT); linter=$$($(GO) env GOPATH)/bin/golangci-lint; }; \
 	"$$linter" run ./...
 
+# The build line of deploy/system.toml, and no name of the platform's wire outside platform/.
+.PHONY: platform-check
+platform-check:
+	GO=$(GO) scripts/check-platform
+
 demo: build
 	scripts/demo
 
--- a/internal/hosted/path_test.go
+++ b/internal/hosted/path_test.go
@@ -67,14 +67,12 @@
 	return 0
 }
 
-func newSite(t *testing.T, entries, workers int) *site {
+func newSite(t *testing.T, workers int) *site {
 	s := &site{t: t, mem: memstore.New(time.Now)}
 	server := httptest.NewServer(standin.Store(s.mem))
 	t.Cleanup(server.Close)
 	s.store = strings.TrimPrefix(server.URL, "http://")
-	config := `{"version":1,"routes":[{"name":"q","hostname":"h.example","prefix":"/q/","service":"s","priority":1,
-		"maxAttempts":3,"slackFactor":3,"targetLatencyMs":1000}],"tenants":[{"name":"t","apiKeys":["key"]}]}`
-	if _, err := s.mem.Put(context.Background(), platform.KeyConfiguration, []byte(config), 0, 0); err != nil {
+	if _, err := s.mem.Put(context.Background(), platform.KeyConfiguration, []byte(standin.Configuration), 0, 0); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -90,7 +88,7 @@
 		s.agents = append(s.agents, p)
 		go w.Announce(ctx, p.settings.BindAddresses.Control, 200*time.Millisecond)
 	}
-	for n := range entries {
+	for n := range 2 {
 		s.entries = append(s.entries, s.process(fmt.Sprint("edge-", n), "edge"))
 	}
 	for _, p := range append(append([]*process(nil), s.agents...), s.entries...) {
@@ -146,7 +144,6 @@
 	}
 	q.Host = "h.example"
 	q.Header.Set("X-Key", "key")
-	q.Header.Set("X-Request-Deadline", "3000")
 	res, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return 0, err.Error()
@@ -215,13 +212,11 @@
 	}
 }
 
-const twoSteps = `{"spec":"300","steps":[{"count":3,"cpu":100,"gpu":1},{"count":2,"cpu":100,"gpu":1,"gang":true,"after":[0]}]}`
-
 // The whole path: jobs of two steps, one a gang, handed in through both entries, are done once.
 func TestJobsAreServed(t *testing.T) {
-	s := newSite(t, 2, 3)
+	s := newSite(t, 3)
 	for id := range 4 {
-		s.accept(id%2, id, twoSteps)
+		s.accept(id%2, id, standin.TwoSteps)
 	}
 	s.eventually(20*time.Second, "completed", s.completed(0, 0, 4))
 	s.once(4 * 5)
@@ -232,25 +227,25 @@
 
 // An agent that restarts and a leader that stops, with work running, lose nothing and start nothing twice.
 func TestRestartsLoseNothing(t *testing.T) {
-	s := newSite(t, 2, 2)
-	s.accept(0, 1, `{"spec":"2500","steps":[{"count":4,"cpu":100,"gpu":1}]}`)
+	s := newSite(t, 2)
+	s.accept(0, 1, standin.FourTasks(2500))
 	s.eventually(5*time.Second, "running", func() bool { return s.state(0, 1) == "running" })
 	s.stop(s.agents[0])
 	s.start(s.agents[0])
 	s.stop(s.entries[0])
 	s.start(s.entries[0])
-	s.accept(1, 2, twoSteps)
+	s.accept(1, 2, standin.TwoSteps)
 	s.eventually(20*time.Second, "completed", s.completed(1, 1, 3))
 	s.once(4 + 5)
 }
 
 // Answers of the store that are lost after the write took effect neither lose a job nor start it twice.
 func TestLostAnswersOfTheStore(t *testing.T) {
-	s := newSite(t, 2, 2)
-	s.accept(0, 1, twoSteps)
+	s := newSite(t, 2)
+	s.accept(0, 1, standin.TwoSteps)
 	s.mem.SetFaults(memstore.Faults{LoseAnswers: 0.4})
 	for id := 2; id < 5; id++ {
-		s.accept(id%2, id, twoSteps)
+		s.accept(id%2, id, standin.TwoSteps)
 	}
 	s.eventually(30*time.Second, "completed", s.completed(0, 1, 5))
 	s.mem.SetFaults(memstore.Faults{})
@@ -260,11 +255,11 @@
 // Running work outlives an outage of the store that is longer than the leader's lease; callers hear 503 meanwhile, and
 // what they were told had not run has not.
 func TestOutageOfTheStore(t *testing.T) {
-	s := newSite(t, 2, 2)
-	s.accept(0, 1, `{"spec":"3000","steps":[{"count":4,"cpu":100,"gpu":1}]}`)
+	s := newSite(t, 2)
+	s.accept(0, 1, standin.FourTasks(3000))
 	s.eventually(5*time.Second, "running", func() bool { return s.state(0, 1) == "running" })
 	s.mem.SetFaults(memstore.Faults{Down: true})
-	if status, body := s.call(0, "POST", "/q/0000000000000009", twoSteps); status != 503 {
+	if status, body := s.call(0, "POST", "/q/0000000000000009", standin.TwoSteps); status != 503 {
 		t.Errorf("status %d %s, want 503", status, body)
 	}
 	time.Sleep(2 * time.Second)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"sync"
@@ -187,12 +188,8 @@
 	if len(id) != jobID {
 		return false
 	}
-	for _, c := range id {
-		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
-			return false
-		}
-	}
-	return true
+	_, err := hex.DecodeString(id)
+	return err == nil
 }
 
 // deadline returns when the answer has to leave.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -27,7 +27,9 @@
 	return batch.Accepted, nil
 }
 
-func (d *driverStandIn) Stop(context.Context, StopRequest) (batch.Verdict, error) { return batch.Accepted, nil }
+func (d *driverStandIn) Stop(context.Context, StopRequest) (batch.Verdict, error) {
+	return batch.Accepted, nil
+}
 
 var life = batch.Life{ID: "i", Born: 7}
 
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -190,12 +190,13 @@
 		if t.phase == stopping {
 			return // the answer to the stop tells for certain
 		}
-		if v == batch.Stale {
+		switch {
+		case v == batch.Stale:
 			// The run has been stopped or has ended there, perhaps well: the next report tells.
 			t.phase, t.reason, t.stopAt, t.stopSettled = stopping, "start was stale", now, now
-		} else if t.doubtful {
+		case t.doubtful:
 			c.stop(t, "refused after an order without an answer", now)
-		} else {
+		default:
 			c.release(t, now, wall)
 			t.retryAt = now + retryPause
 		}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -8,8 +8,8 @@
 	"masticcart.example/masticcart/internal/batch"
 )
 
-// metrics are the counters and histograms of the scheduler.
-type metrics struct {
+// Metrics are the counters and histograms of the scheduler.
+type Metrics struct {
 	scope  tally.Scope
 	writes tally.Histogram
 	orders tally.Histogram
@@ -20,21 +20,21 @@
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
 
 // NewMetrics returns the metrics below a scope.
-func NewMetrics(scope tally.Scope) *metrics { //nolint:revive // only NewService takes it
+func NewMetrics(scope tally.Scope) *Metrics {
 	scope = scope.SubScope("scheduler")
-	return &metrics{scope: scope, writes: scope.Histogram("write_latency", latencyBuckets),
+	return &Metrics{scope: scope, writes: scope.Histogram("write_latency", latencyBuckets),
 		orders: scope.Histogram("order_latency", latencyBuckets)}
 }
 
-func (m *metrics) write(took time.Duration) { m.writes.RecordDuration(took) }
+func (m *Metrics) write(took time.Duration) { m.writes.RecordDuration(took) }
 
-func (m *metrics) order(kind OrderKind, v batch.Verdict, took time.Duration) {
+func (m *Metrics) order(kind OrderKind, v batch.Verdict, took time.Duration) {
 	m.orders.RecordDuration(took)
 	m.scope.Tagged(map[string]string{"order": string(kind), "verdict": string(v)}).Counter("orders").Inc(1)
 }
 
 // observe counts what the core has decided since the last call.
-func (m *metrics) observe(c *Core) {
+func (m *Metrics) observe(c *Core) {
 	now := c.Stats()
 	for _, x := range [...]struct {
 		name        string
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -279,7 +279,7 @@
 // mayGoFar reports whether the unit has waited for long enough to run slower, or can never run near.
 func (p *planner) mayGoFar(u unit, n int) bool {
 	s := u.step.spec
-	if s.DataRack == "" && !(s.Gang && s.OneRack) {
+	if s.DataRack == "" && (!s.Gang || !s.OneRack) {
 		return false
 	}
 	if !p.holdable(u, n) {
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -30,7 +30,7 @@
 	config  Config
 	catalog func() *batch.Catalog
 	meter   *rpc.Meter
-	metrics *metrics
+	metrics *Metrics
 
 	mu   sync.Mutex
 	term *termRun // nil while another process leads
@@ -39,7 +39,7 @@
 }
 
 // NewService returns the scheduler of an entry. catalog returns the newest configuration that is known.
-func NewService(store kvstore.Store, config Config, catalog func() *batch.Catalog, meter *rpc.Meter, m *metrics) *Service {
+func NewService(store kvstore.Store, config Config, catalog func() *batch.Catalog, meter *rpc.Meter, m *Metrics) *Service {
 	return &Service{store: store, config: config, catalog: catalog, meter: meter, metrics: m,
 		entries: map[string]string{}}
 }
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -93,16 +93,6 @@
 	return n
 }
 
-// idle reports whether no task of the step occupies a worker.
-func (s *stepRun) idle() bool {
-	for _, t := range s.tasks {
-		if t.active() {
-			return false
-		}
-	}
-	return true
-}
-
 // occurrence is one run through the steps of a job.
 type occurrence struct {
 	job    *job
