--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -427,3 +427,111 @@
 		})
 	}
 }
+
+// When a member of a gang is refused, the others are stopped at once, before they would end alone, and the gang starts
+// again as a whole.
+func TestGangBreaksAsAWhole(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.submit("00000000000000d1", 1, 0, batch.Step{Count: 2, Gang: true, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+	f.c.Tick(0, f.wall)
+	b, err := f.c.Take(changesPerWrite)
+	if err != nil || b == nil {
+		t.Fatal(b, err)
+	}
+	starts := f.c.Committed(b, 1, 0)
+	f.c.Answered(starts[0], batch.Accepted, "", 0, f.wall)
+	f.c.Answered(starts[1], batch.NoRoom, "", 0, f.wall)
+	orders := f.c.Orders()
+	if len(orders) != 1 || orders[0].Kind != OrderStop || orders[0].Task != starts[0].Task {
+		t.Fatalf("orders %+v, want a stop of %v", orders, starts[0].Task)
+	}
+}
+
+// end reports the end of the present run of a task.
+func (f *fixture) end(id batch.TaskID, number int64, at time.Duration, how batch.How) {
+	x := f.c.jobs[id.Job].find(id)
+	life := x.life
+	f.c.Report(Report{Node: x.node, Asked: at, Heard: at, Runs: &batch.Runs{Life: life, ClockMS: at.Milliseconds(),
+		Ended: []batch.EndedTask{{Number: number, Task: id, Run: x.run, How: how}}}}, f.wall)
+}
+
+// A start whose first try was not answered may have been carried out and have ended well: when the second try is refused
+// as stale, the task must wait for the worker's list (seeds 922 and 1134 of the first version started it twice).
+func TestStaleStartWaitsForTheWorkersList(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.submit("00000000000000e1", 1, 0, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 1}})
+	id := batch.TaskID{Job: "00000000000000e1"}
+	f.c.Tick(0, f.wall)
+	b, err := f.c.Take(changesPerWrite)
+	if err != nil || b == nil {
+		t.Fatal(b, err)
+	}
+	start := f.c.Committed(b, 1, 0)[0]
+	f.c.Answered(start, batch.Unknown, "", 400*time.Millisecond, f.wall)
+	f.c.Answered(start, batch.Stale, "", 500*time.Millisecond, f.wall)
+	for _, o := range f.settle(600 * time.Millisecond) {
+		if o.Kind == OrderStart && o.Run != start.Run {
+			t.Fatalf("run %d starts before the list of %s was read", o.Run, start.Node)
+		}
+	}
+	f.end(id, 1, 700*time.Millisecond, batch.EndDone)
+	if state, _ := f.c.StateOf(id.Job); state != batch.Completed {
+		t.Fatalf("state %s, want completed", state)
+	}
+}
+
+// A task that its leader assigned, and whose job was cancelled before the order is known to have been sent, is stopped by
+// the next leader and not started (seed 117 of the first version).
+func TestNextLeaderStopsWhatWasCancelled(t *testing.T) {
+	f := newFixture(t, "a")
+	f.submit("00000000000000e2", 1, 0, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 1}})
+	f.settle(0)
+	f.c.Cancel("00000000000000e2", 0, f.wall)
+	j := f.c.jobs["00000000000000e2"]
+	record, err := j.record()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newFixture(t)
+	if err := next.c.AddJob(j.Job, record, 2, 0, next.wall); err != nil {
+		t.Fatal(err)
+	}
+	next.report("a", time.Second)
+	stops := 0
+	for _, o := range next.settle(time.Second) {
+		if o.Kind == OrderStart {
+			t.Fatalf("%v of a cancelled job starts", o.Task)
+		}
+		stops++
+	}
+	if stops != 1 {
+		t.Errorf("%d stops, want 1: the start may be under way", stops)
+	}
+}
+
+// A task is started as often as its queue allows, and not once more; the failures outlive the leader.
+func TestAttemptsAreLimited(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.submit("00000000000000e3", 1, 0, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 1}})
+	id := batch.TaskID{Job: "00000000000000e3"}
+	starts := 0
+	for n := range 10 {
+		at := time.Duration(n) * time.Second
+		f.report("a", at)
+		f.report("b", at)
+		for _, o := range f.settle(at) {
+			if o.Kind == OrderStart {
+				starts++
+			}
+		}
+		if x := f.c.jobs[id.Job].find(id); x.phase == assigned {
+			f.end(id, int64(n+1), at+500*time.Millisecond, batch.EndFailed)
+		}
+	}
+	if want := simQueue(1).MaxAttempts; starts != want {
+		t.Errorf("%d starts, want %d", starts, want)
+	}
+	if state, _ := f.c.StateOf(id.Job); state != batch.Failed {
+		t.Errorf("state %s, want failed", state)
+	}
+}
