--- a/internal/hosted/leader.go
+++ b/internal/hosted/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 const (
 	methodPending = "scheduler.pending"
 	methodLearn   = "scheduler.learn"
+	methodExplain = "scheduler.explain"
 )
 
 // methodRelease asks an entry to remove the key of the caller's term.
@@ -27,6 +29,37 @@
 // releaseTimeout bounds the call: an entry that does not reach the store either is of no help.
 const releaseTimeout = 400 * time.Millisecond
 
+type explainRequest struct {
+	Job string `json:"job"`
+}
+
+// Explain asks the entries at the addresses, which are those of their RPC listeners, one after the other; the one that
+// leads answers.
+func Explain(ctx context.Context, addresses []string, job string) (*scheduler.Explanation, error) {
+	var problems []error
+	for _, address := range addresses {
+		e, err := explainAt(ctx, address, job)
+		if err == nil {
+			return e, nil
+		}
+		problems = append(problems, err)
+	}
+	return nil, errors.Join(problems...)
+}
+
+func explainAt(ctx context.Context, address, job string) (*scheduler.Explanation, error) {
+	conn, err := rpc.Dial(ctx, address, nil, nil, &rpc.Meter{})
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	var e scheduler.Explanation
+	if err := conn.Call(ctx, methodExplain, explainRequest{Job: job}, &e); err != nil {
+		return nil, err
+	}
+	return &e, nil
+}
+
 type releaseRequest struct {
 	Term int64 `json:"term"`
 }
@@ -83,6 +116,16 @@
 			}
 			return pending, nil
 		}),
+		methodExplain: rpc.Method(func(_ context.Context, _ *rpc.Conn, r explainRequest) (*scheduler.Explanation, error) {
+			e, known, leads := s.Explain(r.Job)
+			switch {
+			case !leads:
+				return nil, errNoLeader
+			case !known:
+				return nil, fmt.Errorf("job %q is not known", r.Job)
+			}
+			return e, nil
+		}),
 		methodLearn: rpc.Method(func(_ context.Context, _ *rpc.Conn, e kvstore.Entry) (none, error) {
 			if !s.Learn(e) {
 				return none{}, errNoLeader
--- a/internal/hosted/path_test.go
+++ b/internal/hosted/path_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
+	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/platform"
 	"masticcart.example/masticcart/platform/standin"
@@ -220,6 +221,11 @@
 	}
 	s.eventually(20*time.Second, "completed", s.completed(0, 0, 4))
 	s.once(4 * 5)
+	e, err := Explain(context.Background(), []string{s.entries[0].settings.RPCAddress(), s.entries[1].settings.RPCAddress()},
+		"0000000000000001")
+	if err != nil || e.State != batch.Completed {
+		t.Errorf("explained as %+v: %v", e, err)
+	}
 	if status, _ := s.call(1, "GET", "/q/00000000000000ff", ""); status != 410 {
 		t.Errorf("an unknown job: status %d, want 410", status)
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -344,12 +344,3 @@
 	}
 	return n
 }
-
-// StateOf returns the state of a job and whether the core knows it.
-func (c *Core) StateOf(id string) (batch.State, bool) {
-	j := c.jobs[id]
-	if j == nil || j.state == forgotten {
-		return "", false
-	}
-	return j.state, true
-}
--- /dev/null
+++ b/internal/scheduler/explain.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"masticcart.example/masticcart/internal/batch"
+)
+
+// Explanation tells where a job stands and what would move it on.
+type Explanation struct {
+	Job         string            `json:"job"`
+	State       batch.State       `json:"state"`
+	Queue       string            `json:"queue"`
+	Team        string            `json:"team,omitempty"`
+	Priority    int               `json:"priority"`
+	WaitedMS    int64             `json:"waited_ms"`
+	ObjectiveMS int64             `json:"objective_ms"`
+	Catalog     int64             `json:"catalog"` // version of the configuration
+	Tasks       []TaskExplanation `json:"tasks"`
+}
+
+// TaskExplanation is the part of one task that is not done.
+type TaskExplanation struct {
+	Task    string `json:"task"`
+	Phase   string `json:"phase"`
+	Run     int    `json:"run,omitempty"`
+	Node    string `json:"node,omitempty"`
+	Percent int    `json:"percent,omitempty"`
+	Fails   int    `json:"fails,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// Explain describes a job. It returns false if the job is not known.
+func (c *Core) Explain(id string, now time.Duration) (*Explanation, bool) {
+	j := c.jobs[id]
+	if j == nil || j.state == forgotten {
+		return nil, false
+	}
+	e := &Explanation{Job: id, State: j.state, Queue: j.Queue.Name, Team: j.Team, Priority: c.queue(j).Priority,
+		WaitedMS: j.waited(now).Milliseconds(), ObjectiveMS: c.objective(j).Milliseconds(), Catalog: c.catalog.Version}
+	names := [...]string{waiting: "waiting", assigned: "assigned", stopping: "stopping"}
+	j.each(func(t *task) {
+		if t.phase == done {
+			return
+		}
+		x := TaskExplanation{Task: t.id.String(), Phase: names[t.phase], Run: t.run, Node: t.node, Percent: t.percent,
+			Fails: t.fails, Reason: t.reason}
+		switch {
+		case t.phase == assigned && t.confirmed:
+			x.Phase = "running"
+		case t.phase == assigned && j.writing:
+			x.Reason = "the assignment is being recorded"
+		case t.phase == waiting:
+			x.Reason = c.whyWaiting(t.step, now)
+		}
+		e.Tasks = append(e.Tasks, x)
+	})
+	return e, true
+}
+
+// whyWaiting names the condition that a waiting step does not meet, with the figures.
+func (c *Core) whyWaiting(s *stepRun, now time.Duration) string {
+	if !s.ready() {
+		return fmt.Sprintf("waits for the steps %v", s.spec.After)
+	}
+	if cl := c.claims[s]; cl != nil {
+		return "room is being freed on " + strings.Join(cl.nodes, ", ")
+	}
+	need := s.spec.Reserved()
+	usable, eligible, copies := 0, 0, 0
+	for _, w := range c.fleet {
+		if !w.usable(now) {
+			continue
+		}
+		usable++
+		if w.info.Service != c.queue(s.job()).Service || !w.info.HasLabel(s.spec.RequiredLabel) {
+			continue
+		}
+		eligible++
+		copies += need.Copies(w.info.Capacity.Minus(w.used()))
+	}
+	n := 1
+	if s.spec.Gang {
+		n = s.spec.Count
+	}
+	return fmt.Sprintf("needs room for %d x %d accelerators, %d mCPU, %d MB; %d fit on %d eligible of %d usable workers",
+		n, need.Accelerators, need.MilliCPU, need.MemoryMB, copies, eligible, usable)
+}
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -110,7 +110,7 @@
 	if len(s.broken) > 0 {
 		t.Fatal(s.broken)
 	}
-	if state, _ := s.core.StateOf("00000000000000aa"); state != batch.Completed {
+	if state := stateOf(s.core, "00000000000000aa"); state != batch.Completed {
 		t.Fatalf("state %q, want completed", state)
 	}
 }
@@ -278,6 +278,14 @@
 	}
 }
 
+// stateOf returns the state of a job, or nothing.
+func stateOf(c *Core, id string) batch.State {
+	if e, ok := c.Explain(id, 0); ok {
+		return e.State
+	}
+	return ""
+}
+
 // fixture is a core with workers that report what the test says.
 type fixture struct {
 	t    *testing.T
@@ -428,6 +436,27 @@
 	}
 }
 
+// Whoever asks why a job waits is told what it needs and what there is.
+func TestExplanationOfAWaitingJob(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.submit("00000000000000f1", 1, 0, batch.Step{Count: 3, Gang: true, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}},
+		batch.Step{Count: 1, After: []int{0}})
+	f.settle(0)
+	e, ok := f.c.Explain("00000000000000f1", 0)
+	if !ok || len(e.Tasks) != 4 || e.Tasks[0].Phase != "waiting" {
+		t.Fatalf("%+v", e)
+	}
+	if want := "needs room for 3 x 8 accelerators, 0 mCPU, 0 MB; 2 fit on 2 eligible of 2 usable workers"; e.Tasks[0].Reason != want {
+		t.Errorf("reason %q, want %q", e.Tasks[0].Reason, want)
+	}
+	if want := "waits for the steps [0]"; e.Tasks[3].Reason != want {
+		t.Errorf("reason %q, want %q", e.Tasks[3].Reason, want)
+	}
+	if _, ok := f.c.Explain("none", 0); ok {
+		t.Error("an unknown job is explained")
+	}
+}
+
 // When a member of a gang is refused, the others are stopped at once, before they would end alone, and the gang starts
 // again as a whole.
 func TestGangBreaksAsAWhole(t *testing.T) {
@@ -475,7 +504,7 @@
 		}
 	}
 	f.end(id, 1, 700*time.Millisecond, batch.EndDone)
-	if state, _ := f.c.StateOf(id.Job); state != batch.Completed {
+	if state := stateOf(f.c, id.Job); state != batch.Completed {
 		t.Fatalf("state %s, want completed", state)
 	}
 }
@@ -531,7 +560,7 @@
 	if want := simQueue(1).MaxAttempts; starts != want {
 		t.Errorf("%d starts, want %d", starts, want)
 	}
-	if state, _ := f.c.StateOf(id.Job); state != batch.Failed {
+	if state := stateOf(f.c, id.Job); state != batch.Failed {
 		t.Errorf("state %s, want failed", state)
 	}
 }
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -84,9 +84,7 @@
 // Learn takes an entry of the intake from the process that wrote it, before the watch brings it. It returns false unless
 // this process leads.
 func (s *Service) Learn(e kvstore.Entry) bool {
-	s.mu.Lock()
-	t := s.term
-	s.mu.Unlock()
+	t := s.current()
 	if t == nil {
 		return false
 	}
@@ -108,6 +106,13 @@
 	return maps.Clone(s.entries)
 }
 
+// current returns the present term of this process, or nil.
+func (s *Service) current() *termRun {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term
+}
+
 func (s *Service) setTerm(t *termRun) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,9 +122,7 @@
 // Pending returns the number of jobs of each queue of which no task has started. It returns false unless this process
 // leads.
 func (s *Service) Pending() (map[string]int, bool) {
-	s.mu.Lock()
-	t := s.term
-	s.mu.Unlock()
+	t := s.current()
 	if t == nil {
 		return nil, false
 	}
@@ -128,17 +131,16 @@
 	return t.core.Pending(), true
 }
 
-// State returns the state of a job. It returns false unless this process leads and knows the job.
-func (s *Service) State(id string) (batch.State, bool) {
-	s.mu.Lock()
-	t := s.term
-	s.mu.Unlock()
+// Explain describes a job. leads is false unless this process leads, known is false if it does not know the job.
+func (s *Service) Explain(id string) (e *Explanation, known, leads bool) {
+	t := s.current()
 	if t == nil {
-		return "", false
+		return nil, false, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.StateOf(id)
+	e, known = t.core.Explain(id, boottime.Now())
+	return e, known, true
 }
 
 // depose ends the term for a reason.
