--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -106,7 +106,10 @@
 	return &j.Queue
 }
 
-// AddJob takes an accepted job. A nil record means that it has none.
+// Knows reports whether a job was added and not forgotten since.
+func (c *Core) Knows(id string) bool { return c.jobs[id] != nil }
+
+// AddJob takes an accepted job. A nil record means that it has none. A job that is known already is left as it is.
 func (c *Core) AddJob(b batch.Job, record []byte, revision kvstore.Revision, now time.Duration, wall time.Time) error {
 	if c.jobs[b.ID] != nil {
 		return nil
@@ -138,16 +141,19 @@
 	return nil
 }
 
-// Cancel ends a job at its caller's wish.
-func (c *Core) Cancel(id string, now time.Duration, wall time.Time) {
+// Cancel ends a job at its caller's wish. It returns false if the job was over or its cancellation known.
+func (c *Core) Cancel(id string, now time.Duration, wall time.Time) bool {
 	j := c.jobs[id]
 	if j == nil {
+		news := !c.cancels[id]
 		c.cancels[id] = true
-		return
+		return news
 	}
-	if !j.state.Final() {
-		c.finish(j, batch.Cancelled, now, wall)
+	if j.state.Final() || j.state == forgotten {
+		return false
 	}
+	c.finish(j, batch.Cancelled, now, wall)
+	return true
 }
 
 // finish moves a job to a final state and stops what runs.
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -92,6 +92,9 @@
 			klog.ErrorS(err, "Accepted job not readable", "key", e.Key, "revision", e.Revision)
 			return
 		}
+		if t.core.Knows(j.ID) {
+			return // told by the entry that stored it, and seen by the watch as well
+		}
 		record := records[j.ID]
 		if err := t.core.AddJob(j, record.Value, record.Revision, now, wall); err != nil {
 			klog.ErrorS(err, "Record not usable", "job", j.ID, "revision", record.Revision)
@@ -101,8 +104,9 @@
 			"revision", e.Revision, "recordRevision", record.Revision, "occurrences", j.Occurrences())
 	case strings.HasPrefix(e.Key, CancelKeys):
 		id := strings.TrimPrefix(e.Key, CancelKeys)
-		klog.InfoS("Cancellation learned", "job", id, "revision", e.Revision)
-		t.core.Cancel(id, now, wall)
+		if t.core.Cancel(id, now, wall) {
+			klog.InfoS("Cancellation learned", "job", id, "revision", e.Revision)
+		}
 	case strings.HasPrefix(e.Key, AgentKeys):
 		if a, ok := registration(e); ok {
 			t.register(a)
