--- a/internal/hosted/leader.go
+++ b/internal/hosted/leader.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/election"
 	"masticcart.example/masticcart/internal/intake"
 	"masticcart.example/masticcart/internal/kvstore"
@@ -21,6 +22,7 @@
 	methodPending = "scheduler.pending"
 	methodLearn   = "scheduler.learn"
 	methodExplain = "scheduler.explain"
+	methodState   = "scheduler.state"
 )
 
 // methodRelease asks an entry to remove the key of the caller's term.
@@ -29,6 +31,16 @@
 // releaseTimeout bounds the call: an entry that does not reach the store either is of no help.
 const releaseTimeout = 400 * time.Millisecond
 
+type stateRequest struct {
+	Job    string `json:"job"`
+	WaitMS int64  `json:"wait"`
+}
+
+type stateResponse struct {
+	State batch.State `json:"state"`
+	Known bool        `json:"known"`
+}
+
 type explainRequest struct {
 	Job string `json:"job"`
 }
@@ -126,6 +138,10 @@
 			}
 			return e, nil
 		}),
+		methodState: rpc.Method(func(ctx context.Context, _ *rpc.Conn, r stateRequest) (stateResponse, error) {
+			state, known := s.State(ctx, r.Job, time.Duration(r.WaitMS)*time.Millisecond)
+			return stateResponse{State: state, Known: known}, nil
+		}),
 		methodLearn: rpc.Method(func(_ context.Context, _ *rpc.Conn, e kvstore.Entry) (none, error) {
 			if !s.Learn(e) {
 				return none{}, errNoLeader
@@ -158,7 +174,7 @@
 		return pending, nil
 	}
 	var pending map[string]int
-	return pending, l.call(ctx, methodPending, none{}, &pending)
+	return pending, l.call(ctx, leaderCallTimeout, methodPending, none{}, &pending)
 }
 
 // Learn implements intake.Leader.
@@ -166,11 +182,21 @@
 	if l.scheduler.Learn(e) {
 		return nil
 	}
-	return l.call(ctx, methodLearn, e, &none{})
+	return l.call(ctx, leaderCallTimeout, methodLearn, e, &none{})
+}
+
+// State implements intake.Leader.
+func (l *leaderClient) State(ctx context.Context, job string, wait time.Duration) (batch.State, bool, error) {
+	if state, known := l.scheduler.State(ctx, job, wait); known {
+		return state, true, nil
+	}
+	var response stateResponse
+	err := l.call(ctx, wait+leaderCallTimeout, methodState, stateRequest{Job: job, WaitMS: wait.Milliseconds()}, &response)
+	return response.State, response.Known, err
 }
 
-func (l *leaderClient) call(ctx context.Context, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, leaderCallTimeout)
+func (l *leaderClient) call(ctx context.Context, timeout time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := l.connect(ctx)
 	if err != nil {
--- a/internal/hosted/path_test.go
+++ b/internal/hosted/path_test.go
@@ -265,6 +265,11 @@
 	s.accept(0, 1, standin.FourTasks(3000))
 	s.eventually(5*time.Second, "running", func() bool { return s.state(0, 1) == "running" })
 	s.mem.SetFaults(memstore.Faults{Down: true})
+	for entry := range s.entries { // the leader knows without the store
+		if state := s.state(entry, 1); state != "running" {
+			t.Errorf("entry %d tells %q in the outage, want running", entry, state)
+		}
+	}
 	if status, body := s.call(0, "POST", "/q/0000000000000009", standin.TwoSteps); status != 503 {
 		t.Errorf("status %d %s, want 503", status, body)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -84,6 +84,9 @@
 type Leader interface {
 	// Pending returns the number of jobs of each queue of which no task has started.
 	Pending(ctx context.Context) (map[string]int, error)
+	// State returns the recorded state of a job, and whether the scheduler knows it. While the job is not over it waits
+	// for a change, at most for wait.
+	State(ctx context.Context, job string, wait time.Duration) (batch.State, bool, error)
 	// Learn tells it of an entry that was stored. It may be lost: the scheduler also watches the store.
 	Learn(ctx context.Context, e kvstore.Entry) error
 }
@@ -314,8 +317,19 @@
 	return s.log("State answered", r, a, started, Response{Answer: OK, State: state})
 }
 
-// read returns the recorded state of a job, again and again while the store fails.
+// stateWait is how long an answer about a job that is not over waits for a change. Callers often ask when the last task
+// has just ended, before its end is recorded.
+const stateWait = 250 * time.Millisecond
+
+// read returns the recorded state of a job from the scheduler, or else from the store, again and again while it fails.
 func (s *Service) read(ctx context.Context, id string) (batch.State, error) {
+	state, known, err := s.leader.State(ctx, id, stateWait)
+	if err == nil && known {
+		return state, nil
+	}
+	if err != nil {
+		klog.V(1).InfoS("State not told by the leader", "job", id, "err", err)
+	}
 	for {
 		state, err := s.readOnce(ctx, id)
 		if err == nil || errors.Is(err, kvstore.ErrNotFound) || ctx.Err() != nil {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -256,7 +256,7 @@
 			all = false
 			continue
 		}
-		change := Change{Job: j.ID, Expect: j.revision, Forget: j.state == forgotten}
+		change := Change{Job: j.ID, Expect: j.revision, State: j.state, Forget: j.state == forgotten}
 		if !change.Forget {
 			record, err := j.record()
 			if err != nil {
@@ -301,7 +301,7 @@
 			delete(c.cancels, j.ID)
 			continue
 		}
-		j.revision = revision
+		j.revision, j.recorded = revision, change.State
 	}
 	b.committed = true
 	c.remember()
@@ -340,6 +340,15 @@
 	return t
 }
 
+// Recorded returns the recorded state of a job, and whether the core knows it.
+func (c *Core) Recorded(id string) (batch.State, bool) {
+	j := c.jobs[id]
+	if j == nil || j.recorded == forgotten || j.state == forgotten {
+		return "", false
+	}
+	return j.recorded, true
+}
+
 // Pending returns, for each queue, the number of jobs of which no task has started.
 func (c *Core) Pending() map[string]int {
 	n := map[string]int{}
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -32,6 +32,7 @@
 	Job    string
 	Expect kvstore.Revision
 	Record []byte
+	State  batch.State
 	// Forget removes the job with all its keys.
 	Forget bool
 }
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -110,6 +110,7 @@
 		return fmt.Errorf("record of job %s: %w", j.ID, err)
 	}
 	j.revision, j.state, j.started, j.next, j.ended = revision, r.State, r.Started, r.Next, r.Ended
+	j.recorded = r.State
 	if r.FinishedMS != 0 {
 		j.finishedAt = time.UnixMilli(r.FinishedMS)
 	}
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -56,12 +56,13 @@
 	mu       sync.Mutex // protects what follows
 	core     *Core
 	sessions map[string]*session
+	news     chan struct{} // closed and replaced after each write
 }
 
 // Lead runs the scheduler until ctx ends or the term is lost.
 func (s *Service) Lead(ctx context.Context, term *election.Term) error {
 	t := &termRun{service: s, term: term, wake: make(chan struct{}, 1), failed: make(chan error, 1),
-		batches: make(chan *Batch, writers), idle: make(chan struct{}, writers), sessions: map[string]*session{},
+		batches: make(chan *Batch, writers), idle: make(chan struct{}, writers), news: make(chan struct{}), sessions: map[string]*session{},
 		core: NewCore(s.config, boottime.Now())}
 	revision, err := t.load(ctx)
 	if err != nil {
@@ -106,6 +107,33 @@
 	return maps.Clone(s.entries)
 }
 
+// State returns the recorded state of a job. While the job is not over it waits for a change until ctx ends, at most for
+// wait. known is false unless this process leads and knows the job.
+func (s *Service) State(ctx context.Context, id string, wait time.Duration) (state batch.State, known bool) {
+	t := s.current()
+	if t == nil {
+		return "", false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		t.mu.Lock()
+		state, known = t.core.Recorded(id)
+		news := t.news
+		t.mu.Unlock()
+		if !known || state.Final() {
+			return state, known
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return state, true
+		case <-ctx.Done():
+			return state, true
+		}
+	}
+}
+
 // current returns the present term of this process, or nil.
 func (s *Service) current() *termRun {
 	s.mu.Lock()
@@ -230,5 +258,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dispatch(t.core.Committed(b, revision, boottime.Now()))
+	close(t.news)
+	t.news = make(chan struct{})
 	t.poke()
 }
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -115,6 +115,7 @@
 	age         time.Duration // how old it was then, by the time of day
 
 	revision kvstore.Revision // of the record; zero: not recorded yet
+	recorded batch.State      // the state in the record; what callers are told
 	dirty    bool
 	writing  bool
 	unsaved  bool    // a checkpoint has come that is not recorded
@@ -122,7 +123,7 @@
 }
 
 func newJob(b batch.Job, now time.Duration, wall time.Time) *job {
-	return &job{Job: b, state: batch.Queued, occurrences: map[int]*occurrence{}, seenAt: now,
+	return &job{Job: b, state: batch.Queued, recorded: batch.Queued, occurrences: map[int]*occurrence{}, seenAt: now,
 		age: max(0, wall.Sub(b.AcceptedAt))}
 }
 
