--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -37,19 +37,21 @@
 type session struct {
 	run     *termRun
 	node    string
-	orders  chan Order
 	running bool
+	wake    chan struct{} // an order waits
+	slots   chan struct{} // held by orders in progress
 
 	mu      sync.Mutex
 	address string
 	conn    *rpc.Conn
+	orders  []Order // at most orderQueue
 }
 
 // register takes the address of an agent. The mutex of the run is held.
 func (t *termRun) register(a Registration) {
 	s := t.sessions[a.Node]
 	if s == nil {
-		s = &session{run: t, node: a.Node, orders: make(chan Order, orderQueue)}
+		s = &session{run: t, node: a.Node, wake: make(chan struct{}, 1), slots: make(chan struct{}, ordersAtOnce)}
 		t.sessions[a.Node] = s
 		t.core.worker(a.Node, boottime.Now())
 	}
@@ -72,21 +74,33 @@
 		if !s.running {
 			s.running = true
 			group.Go(func() { s.serve(ctx) })
-			for range ordersAtOnce {
-				group.Go(func() { s.send(ctx) })
-			}
+			group.Go(func() { s.send(ctx, group) })
 		}
 	}
 }
 
 // offer queues an order. It returns false if too many wait.
 func (s *session) offer(o Order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.orders) >= orderQueue {
+		return false
+	}
+	s.orders = append(s.orders, o)
 	select {
-	case s.orders <- o:
-		return true
+	case s.wake <- struct{}{}:
 	default:
-		return false
 	}
+	return true
+}
+
+// take returns the orders that wait.
+func (s *session) take() []Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	orders := s.orders
+	s.orders = nil
+	return orders
 }
 
 // serve keeps a connection and asks for reports on it.
@@ -180,18 +194,28 @@
 	return &response, nil
 }
 
-// send carries out orders.
-func (s *session) send(ctx context.Context) {
+// send carries out orders, up to ordersAtOnce at a time.
+func (s *session) send(ctx context.Context, group *sync.WaitGroup) {
 	for {
 		select {
-		case o := <-s.orders:
-			started := time.Now()
-			v, problem := s.carryOut(ctx, o)
-			s.run.service.metrics.order(o.Kind, v, time.Since(started))
-			s.run.answered(o, v, problem)
+		case <-s.wake:
 		case <-ctx.Done():
 			return
 		}
+		for _, o := range s.take() {
+			select {
+			case s.slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			group.Go(func() {
+				defer func() { <-s.slots }()
+				started := time.Now()
+				v, problem := s.carryOut(ctx, o)
+				s.run.service.metrics.order(o.Kind, v, time.Since(started))
+				s.run.answered(o, v, problem)
+			})
+		}
 	}
 }
 
