A fault soak with real processes; a worker's next life is fenced before its tasks are taken as lost

Now the fence rises with each life, and tasks of a life before are adopted or lost by the first list that was asked for under it. A grant for the clock of the life before can give the new one the longest lease, so that is what a new life is waited for. A worker is told once only which ends to forget.

--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,11 @@
 # The placement policy against its baselines; BENCH_FLAGS=-short leaves out what depends on wall time.
 bench:
 	$(GO) run ./cmd/masticcart-bench $(BENCH_FLAGS)
+
+.PHONY: soak
+# Real processes under faults from outside; SOAK_SEED=0 draws a seed and prints it.
+SOAK_SEED ?= 0
+SOAK_FOR  ?= 30s
+soak:
+	$(GO) build -o $(BIN)/ ./cmd/masticcartd ./cmd/masticcart-soak
+	$(BIN)/masticcart-soak --seed $(SOAK_SEED) --for $(SOAK_FOR) --daemon $(BIN)/masticcartd
--- a/cmd/masticcart/platform.go
+++ b/cmd/masticcart/platform.go
@@ -15,14 +15,14 @@
 // the platform.
 func (a *app) platformCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "platform",
-		Usage: "ask a deployment on the users' platform",
+		Name:        "platform",
+		Usage:       "ask a deployment on the users' platform",
 		Description: "Example:\n  masticcart --entry 10.1.0.19:7000 platform explain 5c0e7a21d94b36f8",
 		Commands: []*cli.Command{{
 			Name: "explain", Usage: "tell where a job stands and what it waits for", ArgsUsage: "JOB",
 			Description: "--entry names the first internal port of entries; the one that leads answers.\n\n" +
 				"Example:\n  masticcart --entry 10.1.0.19:7000 platform explain 5c0e7a21d94b36f8",
-			Action:      a.explainHosted,
+			Action: a.explainHosted,
 		}},
 	}
 }
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -74,8 +74,9 @@
 	b := s.Bounds
 	lease := time.Duration(float64(platform.Milliseconds(b.MaxHoldMS)) * leaseShare)
 	return scheduler.NewService(store, scheduler.Config{
+		MaxLease:     platform.Milliseconds(b.MaxHoldMS),
 		Lease:        lease,
-		TakeoverWait: election.Grace + lease + takeoverSlack,
+		TakeoverWait: election.Grace + platform.Milliseconds(b.MaxHoldMS) + takeoverSlack,
 		StopTime:     platform.Milliseconds(b.StopTimeoutMS),
 		GangWait:     platform.Milliseconds(b.GangWaitMS),
 		FarFactor:    b.RemoteFactor,
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -20,6 +20,8 @@
 type Config struct {
 	// Lease is how long a worker keeps what it runs without a new grant, on its own clock.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker accepts.
+	MaxLease time.Duration
 	// TakeoverWait is how long a new leader waits for a worker that it has not reached before it takes the worker's
 	// tasks as ended: the time for which a leader before it may still have extended the lease, and the lease.
 	TakeoverWait time.Duration
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -57,7 +57,9 @@
 	Node string
 	// Asked is when the leader sent the question, Heard when it had the answer.
 	Asked, Heard time.Duration
-	Worker       *batch.Worker
-	Left         bool
-	Runs         *batch.Runs
+	// Forget is what the worker was told in the question.
+	Forget int64
+	Worker *batch.Worker
+	Left   bool
+	Runs   *batch.Runs
 }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -171,7 +171,7 @@
 	asked := boottime.Now()
 	t.mu.Lock()
 	life, sequence, forget := t.core.Question(s.node, asked)
-	request := relay.SyncRequest{Term: t.term.Number, Fence: t.term.Number, Life: life, Sequence: sequence, Forget: forget}
+	request := relay.SyncRequest{Term: t.term.Number, Fence: t.fence(s.node), Life: life, Sequence: sequence, Forget: forget}
 	if t.term.Held() {
 		if until, ok := t.core.Grant(s.node, life); ok {
 			request.LeaseUntilMS, request.WaitMS = until, syncWait.Milliseconds()
@@ -186,14 +186,23 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.core.Report(Report{Node: s.node, Asked: asked, Heard: boottime.Now(), Worker: response.Worker, Left: response.Left,
-		Runs: response.Runs}, time.Now())
+	t.core.Report(Report{Node: s.node, Asked: asked, Heard: boottime.Now(), Forget: forget,
+		Worker: response.Worker, Left: response.Left, Runs: response.Runs}, time.Now())
 	if t.core.changed || len(t.core.outbox) > 0 {
 		t.poke()
 	}
 	return &response, nil
 }
 
+// fenceEpochs is the number of lives of one worker that fit between the fences of two terms.
+const fenceEpochs = 1 << 10
+
+// fence returns the fence of orders to a worker: it rises with the term, and within a term with the lives of the worker.
+// The mutex is held.
+func (t *termRun) fence(node string) int64 {
+	return t.term.Number*fenceEpochs + min(t.core.Epoch(node), fenceEpochs-1)
+}
+
 // send carries out orders, up to ordersAtOnce at a time.
 func (s *session) send(ctx context.Context, group *sync.WaitGroup) {
 	for {
@@ -227,22 +236,27 @@
 		return batch.Refused, "agent not connected"
 	}
 	t := s.run
+	t.mu.Lock()
+	fence := t.fence(s.node)
+	stale := t.core.workers[s.node].life() != o.Life
+	until, ok := t.core.Grant(s.node, o.Life)
+	ok = ok && t.term.Held()
+	t.mu.Unlock()
+	if stale {
+		return batch.OldLife, "the worker has started again"
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var response relay.OrderResponse
 	var err error
 	if o.Kind == OrderStop {
-		err = conn.Call(ctx, relay.MethodStop, relay.StopRequest{Term: t.term.Number, Fence: t.term.Number, Life: o.Life,
+		err = conn.Call(ctx, relay.MethodStop, relay.StopRequest{Term: t.term.Number, Fence: fence, Life: o.Life,
 			Task: o.Task, Run: o.Run}, &response)
 	} else {
-		t.mu.Lock()
-		until, ok := t.core.Grant(s.node, o.Life)
-		ok = ok && t.term.Held()
-		t.mu.Unlock()
 		if !ok {
 			return batch.Refused, "no lease to grant"
 		}
-		err = conn.Call(ctx, relay.MethodStart, relay.StartRequest{Term: t.term.Number, Fence: t.term.Number, Life: o.Life,
+		err = conn.Call(ctx, relay.MethodStart, relay.StartRequest{Term: t.term.Number, Fence: fence, Life: o.Life,
 			Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint, LeaseUntilMS: until}, &response)
 	}
 	if errors.Is(err, rpc.ErrOverloaded) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -24,7 +24,12 @@
 	seenEnd int64 // the last end that was processed
 	// forgetEnd is the last end that is recorded, so that the worker may forget it.
 	forgetEnd int64
+	told      int64         // the last end that the present life was told to forget
 	asked     time.Duration // when the question of the last report was sent
+	// epoch counts the lives that this leader has seen. It is part of the fence, since a worker may start again under its
+	// id: an order that was meant for the life before would be carried out by the new one.
+	epoch       int64
+	describedAt time.Duration // when the present life was described
 	// strayStops bounds the orders to stop runs that nobody wants.
 	strayStops map[string]time.Duration
 	failures   int           // failed ends in a row, over different jobs
@@ -85,21 +90,33 @@
 	if w == nil || !w.heard || w.info == nil || w.life() != life {
 		return 0, false
 	}
-	w.expires = max(w.expires, w.clockAt+c.leaseSpan())
+	w.expires = max(w.expires, w.clockAt+leaseSpan(c.config.Lease))
 	return w.clockMS + c.config.Lease.Milliseconds(), true
 }
 
 // leaseSpan returns how long a lease that is granted now may keep tasks running.
-func (c *Core) leaseSpan() time.Duration {
-	return time.Duration(float64(c.config.Lease)*clockTolerance) + leaseMargin
+func leaseSpan(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockTolerance) + leaseMargin
+}
+
+// Epoch returns the number of lives of the worker that this leader has seen, less one.
+func (c *Core) Epoch(node string) int64 {
+	if w := c.workers[node]; w != nil {
+		return w.epoch
+	}
+	return 0
 }
 
 // Question returns what the leader asks an agent next: the life that it knows, the last announcement, and the end up to
-// which the worker may forget.
+// which the worker may forget, or zero if it was told before: a worker that starts again under its id would take it for
+// its own ends.
 func (c *Core) Question(node string, now time.Duration) (life batch.Life, sequence, forget int64) {
 	w := c.worker(node, now)
 	if w.info != nil {
-		return w.info.Life, w.info.Sequence, w.forgetEnd
+		if w.forgetEnd > w.told {
+			forget = w.forgetEnd
+		}
+		return w.info.Life, w.info.Sequence, forget
 	}
 	for _, t := range w.sorted() { // recorded by a leader before
 		return t.life, 0, 0
@@ -111,7 +128,7 @@
 func (c *Core) Report(r Report, wall time.Time) {
 	w := c.worker(r.Node, r.Heard)
 	if r.Worker != nil {
-		c.describe(w, r.Worker, r.Heard, wall)
+		c.describe(w, r.Worker, r.Heard)
 	}
 	if r.Left && !w.left && w.info != nil {
 		w.left = true
@@ -125,36 +142,43 @@
 	if w.info == nil || r.Runs.Life.Born != w.info.Life.Born {
 		return // of another life than the one described
 	}
-	if r.Asked < w.asked {
-		return // overtaken
+	if r.Asked < w.asked || w.epoch > 0 && r.Asked < w.describedAt {
+		return // overtaken, or asked before the fence of this life
+	}
+	if r.Forget > 0 {
+		w.told = max(w.told, r.Forget)
 	}
 	if !w.heard {
+		c.adopt(w, r.Runs, r.Heard, wall)
 		klog.InfoS("Worker reached", "node", w.node, "worker", w.info.Life, "running", len(r.Runs.Running),
 			"ended", len(r.Runs.Ended))
 		c.changed = true
-		// The agent obeys this leader now, so the one before can extend no lease any more.
-		w.expires = r.Heard + c.leaseSpan()
+		// The agent obeys this leader now, so the one before can extend no lease any more. A grant that was meant for the
+		// clock of a life before may have given this one the longest lease.
+		w.expires = r.Heard + leaseSpan(c.config.MaxLease)
 	}
 	w.heard, w.asked, w.clockMS, w.clockAt = true, r.Asked, r.Runs.ClockMS, r.Heard
 	c.ends(w, r.Runs.Ended, r.Heard, wall)
 	c.running(w, r, wall)
 }
 
-// describe takes what a worker says of itself. With another life, all that ran on the one before has ended.
-func (c *Core) describe(w *worker, info *batch.Worker, now time.Duration, wall time.Time) {
+// describe takes what a worker says of itself. What ran on a life before is settled by the first list of the new one.
+func (c *Core) describe(w *worker, info *batch.Worker, now time.Duration) {
 	before := w.info
 	if before != nil && (info.Life.Born < before.Life.Born ||
 		info.Life == before.Life && info.Sequence < before.Sequence) {
 		return
 	}
 	w.info = info
+	if before != nil && before.Life != info.Life {
+		w.epoch++
+	}
 	if before == nil || before.Life != info.Life {
 		klog.InfoS("Worker described", "node", w.node, "worker", info.Life, "service", info.Service, "rack", info.Rack,
 			"capacity", info.Capacity, "leaving", info.Leaving)
-		w.heard, w.left, w.seenEnd, w.forgetEnd, w.clockMS, w.clockAt = false, false, 0, 0, 0, 0
-		w.failures, w.avoidUntil = 0, 0
+		w.heard, w.left, w.seenEnd, w.forgetEnd, w.told, w.clockMS, w.clockAt = false, false, 0, 0, 0, 0, 0
+		w.failures, w.avoidUntil, w.describedAt = 0, 0, now
 		c.changed = true
-		c.loseOthers(w, "worker started again", now, wall)
 	} else if before.Leaving != info.Leaving {
 		klog.InfoS("Worker leaving", "node", w.node, "worker", info.Life, "leaving", info.Leaving,
 			"leavingInMs", info.LeavingInMS, "tasks", len(w.tasks))
@@ -183,11 +207,28 @@
 	}
 }
 
-// loseOthers is loseTasks for the tasks of lives other than the present one.
-func (c *Core) loseOthers(w *worker, reason string, now time.Duration, wall time.Time) {
+// adopt settles the tasks of lives before the present one: their runs have ended, unless an order that came late was
+// carried out by the present life.
+func (c *Core) adopt(w *worker, runs *batch.Runs, now time.Duration, wall time.Time) {
+	type key struct {
+		task batch.TaskID
+		run  int
+	}
+	here := map[key]bool{}
+	for _, r := range runs.Running {
+		here[key{r.Task, r.Run}] = true
+	}
+	for _, e := range runs.Ended {
+		here[key{e.Task, e.Run}] = true
+	}
 	for _, t := range w.sorted() {
-		if t.life != w.info.Life {
-			c.lose(t, reason, now, wall)
+		switch {
+		case t.life == w.info.Life:
+		case here[key{t.id, t.run}]:
+			klog.InfoS("Run adopted", "task", t.id, "run", t.run, "node", w.node, "worker", w.info.Life, "before", t.life)
+			t.life = w.info.Life
+		default:
+			c.lose(t, "worker started again", now, wall)
 		}
 	}
 }
