Split plan and intake by duty; one pause; remove unused parameters and settings

Cause: reading the code as a newcomer: plan.go and intake.go held several duties, five packages had a pause of their own, the relay repeated itself for start and stop, and parameters were passed that nobody read.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -91,6 +91,3 @@
 	Refused  Verdict = "refused" // for example an unhealthy worker
 	OldLife  Verdict = "old-life"
 )
-
-// Settled reports whether the verdict tells for certain what the worker did.
-func (v Verdict) Settled() bool { return v != Unknown }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -14,6 +14,7 @@
 
 	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/wait"
 )
 
 const (
@@ -123,15 +124,15 @@
 			e.see(Leader{})
 			if err := e.campaign(ctx); err != nil && ctx.Err() == nil {
 				klog.InfoS("Campaign failed", "err", err)
-				pause(ctx, retryPause)
+				wait.For(ctx, retryPause)
 			}
 		case err != nil:
 			klog.V(1).InfoS("Leader not read", "err", err)
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		case decode(entry).Node == e.self.Node:
 			// The key of an earlier life of this process, which cannot lead any more.
 			if err := e.Remove(ctx, int64(entry.Revision)); err != nil {
-				pause(ctx, retryPause)
+				wait.For(ctx, retryPause)
 			}
 		default:
 			e.see(decode(entry))
@@ -153,7 +154,7 @@
 		if err != nil || len(events) > 0 {
 			if err != nil {
 				klog.V(1).InfoS("Leader watch ended", "err", err)
-				pause(ctx, retryPause)
+				wait.For(ctx, retryPause)
 			}
 			return
 		}
@@ -237,7 +238,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if failures != 1 { // a single failure may be a lost answer: try again at once
-			pause(ctx, renewInterval)
+			wait.For(ctx, renewInterval)
 		}
 		err := e.renew(ctx, term, lease)
 		switch {
@@ -281,12 +282,3 @@
 	term.renew(sent)
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -75,7 +75,7 @@
 	return c
 }
 
-func wait(t *testing.T, limit time.Duration, what string, f func() bool) time.Duration {
+func await(t *testing.T, limit time.Duration, what string, f func() bool) time.Duration {
 	t.Helper()
 	began := time.Now()
 	for !f() {
@@ -94,7 +94,7 @@
 	var all []*candidate
 	peers := func() []*candidate { return all }
 	a := start(t, store, "a", peers)
-	wait(t, 5*time.Second, "first leader", a.leading.Load)
+	await(t, 5*time.Second, "first leader", a.leading.Load)
 	b := start(t, store, "b", peers)
 	all = []*candidate{a, b}
 	time.Sleep(50 * time.Millisecond)
@@ -102,7 +102,7 @@
 		t.Fatal("two leaders")
 	}
 	a.stop()
-	wait(t, leaseTTL-200*time.Millisecond, "second leader", b.leading.Load)
+	await(t, leaseTTL-200*time.Millisecond, "second leader", b.leading.Load)
 	if b.terms[0] <= a.terms[0] {
 		t.Errorf("term %d after %d", b.terms[0], a.terms[0])
 	}
@@ -115,25 +115,25 @@
 	var all []*candidate
 	peers := func() []*candidate { mu.Lock(); defer mu.Unlock(); return all }
 	a := start(t, store, "a", peers)
-	wait(t, 5*time.Second, "first leader", a.leading.Load)
+	await(t, 5*time.Second, "first leader", a.leading.Load)
 	b := start(t, store, "b", peers)
 	mu.Lock()
 	all = []*candidate{a, b}
 	mu.Unlock()
 	time.Sleep(50 * time.Millisecond)
 	a.gate.shut.Store(true)
-	took := wait(t, 5*time.Second, "second leader", b.leading.Load)
+	took := await(t, 5*time.Second, "second leader", b.leading.Load)
 	if took >= leaseTTL {
 		t.Errorf("taken over after %v, not before the lease of %v", took, leaseTTL)
 	}
-	wait(t, time.Second, "the first leader ends", func() bool { return !a.leading.Load() })
+	await(t, time.Second, "the first leader ends", func() bool { return !a.leading.Load() })
 }
 
 // In an outage that hits all, the leader goes on: running work needs its leases extended.
 func TestLeaderOutlivesAnOutageOfTheStore(t *testing.T) {
 	store := memstore.New(time.Now)
 	a := start(t, store, "a", func() []*candidate { return nil })
-	wait(t, 5*time.Second, "leader", a.leading.Load)
+	await(t, 5*time.Second, "leader", a.leading.Load)
 	store.SetFaults(memstore.Faults{Down: true})
 	time.Sleep(leaseTTL - 500*time.Millisecond)
 	if !a.leading.Load() {
@@ -154,7 +154,7 @@
 		t.Fatal(err)
 	}
 	a := start(t, store, "a", func() []*candidate { return nil })
-	wait(t, 2*time.Second, "leader", a.leading.Load)
+	await(t, 2*time.Second, "leader", a.leading.Load)
 }
 
 // The key of another term is left alone.
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -80,7 +80,6 @@
 		StopTime:     platform.Milliseconds(b.StopTimeoutMS),
 		GangWait:     platform.Milliseconds(b.GangWaitMS),
 		FarFactor:    b.RemoteFactor,
-		Early:        platform.Milliseconds(b.EarlyMS),
 		KeepFinal:    platform.Seconds(b.StatusS),
 		Restore:      platform.Milliseconds(b.RestoreMS),
 	}, f.Catalog, meter, scheduler.NewMetrics(m.Scope))
--- a/internal/hosted/register.go
+++ b/internal/hosted/register.go
@@ -10,6 +10,7 @@
 
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/scheduler"
+	"masticcart.example/masticcart/internal/wait"
 	"masticcart.example/masticcart/platform"
 )
 
@@ -46,11 +47,6 @@
 			continue
 		}
 		klog.InfoS("Not registered", "key", key, "err", err)
-		timer := time.NewTimer(registerPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		wait.For(ctx, registerPause)
 	}
 }
--- a/internal/intake/catalog.go
+++ b/internal/intake/catalog.go
@@ -11,6 +11,7 @@
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/wait"
 )
 
 const (
@@ -65,12 +66,7 @@
 			if !errors.Is(err, kvstore.ErrNotFound) {
 				f.lost(err)
 			}
-			timer := time.NewTimer(catalogPause)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-			}
-			timer.Stop()
+			wait.For(ctx, catalogPause)
 		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -175,29 +175,34 @@
 }
 
 func (r *Relay) start(ctx context.Context, conn *rpc.Conn, req StartRequest) (OrderResponse, error) {
-	if err := r.admit(req.Term, conn); err != nil {
-		return OrderResponse{}, err
-	}
-	if !r.alive(req.Life) {
-		return OrderResponse{Verdict: batch.OldLife}, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	verdict, err := r.driver.Start(ctx, req)
-	return respond(verdict, err), nil
+	return r.order(ctx, conn, req.Term, req.Life, func(ctx context.Context) (batch.Verdict, error) {
+		return r.driver.Start(ctx, req)
+	})
 }
 
 func (r *Relay) stop(ctx context.Context, conn *rpc.Conn, req StopRequest) (OrderResponse, error) {
-	if err := r.admit(req.Term, conn); err != nil {
+	return r.order(ctx, conn, req.Term, req.Life, func(ctx context.Context) (batch.Verdict, error) {
+		return r.driver.Stop(ctx, req)
+	})
+}
+
+// order carries out an order of the newest term that is meant for the present life of the worker.
+func (r *Relay) order(ctx context.Context, conn *rpc.Conn, term int64, life batch.Life,
+	carryOut func(context.Context) (batch.Verdict, error)) (OrderResponse, error) {
+	if err := r.admit(term, conn); err != nil {
 		return OrderResponse{}, err
 	}
-	if !r.alive(req.Life) {
+	if !r.alive(life) {
 		return OrderResponse{Verdict: batch.OldLife}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	verdict, err := r.driver.Stop(ctx, req)
-	return respond(verdict, err), nil
+	verdict, err := carryOut(ctx)
+	response := OrderResponse{Verdict: verdict}
+	if err != nil {
+		response.Problem = err.Error()
+	}
+	return response, nil
 }
 
 func (r *Relay) alive(life batch.Life) bool {
@@ -205,11 +210,3 @@
 	defer r.mu.Unlock()
 	return r.worker == nil || r.worker.Life == life
 }
-
-func respond(v batch.Verdict, err error) OrderResponse {
-	o := OrderResponse{Verdict: v}
-	if err != nil {
-		o.Problem = err.Error()
-	}
-	return o
-}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -31,8 +31,6 @@
 	GangWait time.Duration
 	// FarFactor is how many times as long tasks take away from their data or spread over racks.
 	FarFactor float64
-	// Early is how much before its due time an occurrence may start.
-	Early time.Duration
 	// KeepFinal is how long the state of a finished job is kept.
 	KeepFinal time.Duration
 	// Restore is how long a task takes to resume from a checkpoint.
@@ -192,7 +190,7 @@
 		c.openDue(j, now, wall)
 	}
 	for _, w := range c.fleet {
-		c.check(w, now, wall)
+		c.check(w, now)
 	}
 	c.forget(wall)
 	c.save(now)
--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -39,7 +39,7 @@
 	final := j.state.Final()
 	switch {
 	case final:
-		c.release(t, now, wall)
+		c.release(t, now)
 	case e.How == batch.EndDone:
 		w.failures = 0
 		c.observe(t, now)
@@ -47,7 +47,7 @@
 	case e.How == batch.EndFailed:
 		c.fail(w, t, now, wall)
 	default:
-		c.release(t, now, wall)
+		c.release(t, now)
 		c.breakGang(t, "member ended "+string(e.How), now)
 	}
 }
@@ -102,7 +102,7 @@
 	}
 	t.avoid(w.node)
 	c.suspect(w, t, now)
-	c.release(t, now, wall)
+	c.release(t, now)
 	limit := c.queue(j).MaxAttempts
 	if !s.spec.Lasting && limit > 0 && fails >= limit {
 		klog.InfoS("Attempts used up", "task", t.id, "run", t.run, "fails", fails, "limit", limit)
@@ -125,7 +125,7 @@
 }
 
 // release takes a run as ended without success. The task waits again unless its job is over.
-func (c *Core) release(t *task, now time.Duration, _ time.Time) {
+func (c *Core) release(t *task, now time.Duration) {
 	c.detach(t)
 	t.phase = waiting
 	if t.step.job().state.Final() {
@@ -159,7 +159,7 @@
 }
 
 // Answered takes a worker's answer to an order.
-func (c *Core) Answered(o Order, v batch.Verdict, problem string, now time.Duration, wall time.Time) {
+func (c *Core) Answered(o Order, v batch.Verdict, problem string, now time.Duration) {
 	t := c.current(o)
 	if t == nil {
 		return
@@ -197,7 +197,7 @@
 		case t.doubtful:
 			c.stop(t, "refused after an order without an answer", now)
 		default:
-			c.release(t, now, wall)
+			c.release(t, now)
 			t.retryAt = now + retryPause
 		}
 		c.breakGang(t, "member was refused: "+string(v), now)
@@ -223,7 +223,7 @@
 }
 
 // running compares what runs on a worker with what should.
-func (c *Core) running(w *worker, r Report, wall time.Time) {
+func (c *Core) running(w *worker, r Report) {
 	now := r.Heard
 	present := make(map[*task]bool, len(w.tasks))
 	for _, run := range r.Runs.Running {
@@ -259,7 +259,7 @@
 		switch {
 		case t.phase == stopping && t.stopSettled != 0 && r.Asked > t.stopSettled+c.config.StopTime:
 			klog.InfoS("Run is gone", "task", t.id, "run", t.run, "node", w.node, "reason", t.reason)
-			c.release(t, now, wall)
+			c.release(t, now)
 		case t.phase == assigned && t.step.job().state.Final():
 			c.stop(t, "job "+string(t.step.job().state), now)
 		case t.phase == assigned && !t.ordered && !t.step.job().dirty && !t.step.job().writing:
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -14,6 +14,7 @@
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/wait"
 )
 
 // errDeposed means that a write found another leader, or records that this leader did not write.
@@ -141,7 +142,7 @@
 			entries, from, err := t.list(ctx, Intake)
 			if err != nil {
 				klog.InfoS("Intake not listed", "err", err)
-				pause(ctx, readPause)
+				wait.For(ctx, readPause)
 				continue
 			}
 			t.mu.Lock()
@@ -153,7 +154,7 @@
 			since = from
 		case ctx.Err() == nil:
 			klog.V(1).InfoS("Intake watch ended", "err", err)
-			pause(ctx, readPause)
+			wait.For(ctx, readPause)
 		}
 	}
 }
@@ -223,7 +224,7 @@
 		case !failing:
 			klog.InfoS("Records not written", "jobs", len(b.Changes), "err", err)
 		}
-		pause(ctx, writePause)
+		wait.For(ctx, writePause)
 	}
 }
 
@@ -245,12 +246,3 @@
 	klog.InfoS("Records found written", "revision", revision, "jobs", len(b.Changes))
 	return revision, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -21,16 +19,6 @@
 	reservations = 3
 )
 
-// unit is what is placed at once: all tasks of a gang, or the waiting tasks of a step that start independently.
-type unit struct {
-	step   *stepRun
-	tasks  []*task
-	queue  *batch.Queue
-	latest time.Duration   // start by then to meet the latency objective
-	sure   bool            // within the guarantee of its team, so that it has to start in time
-	avoid  map[string]bool // workers on which a task of the unit failed; nil if none
-}
-
 // plan places waiting tasks: the most urgent first, others into the room that those cannot use.
 func (c *Core) plan(now time.Duration) {
 	free := map[string]batch.Resources{}
@@ -50,95 +38,6 @@
 	}
 }
 
-// units returns what can be placed, in the order of urgency.
-func (c *Core) units(now time.Duration) []unit {
-	var us []unit
-	for _, j := range c.order {
-		for n := range j.next {
-			o := j.occurrences[n]
-			if o == nil {
-				continue
-			}
-			for _, s := range o.steps {
-				if s.open > 0 && s.ready() {
-					us = c.appendUnit(us, s, now)
-				}
-			}
-		}
-	}
-	slices.SortStableFunc(us, func(a, b unit) int {
-		return cmp.Or(cmp.Compare(a.queue.Priority, b.queue.Priority), -compareBool(a.sure, b.sure),
-			cmp.Compare(a.latest, b.latest))
-	})
-	return us
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
-func (c *Core) appendUnit(us []unit, s *stepRun, now time.Duration) []unit {
-	u := unit{step: s, queue: c.queue(s.job())}
-	for _, t := range s.tasks {
-		if t.phase == waiting && t.retryAt <= now {
-			u.tasks = append(u.tasks, t)
-		}
-	}
-	if len(u.tasks) == 0 || s.spec.Gang && len(u.tasks) < s.spec.Count {
-		return us
-	}
-	for _, t := range u.tasks {
-		for node := range t.failedOn {
-			if u.avoid == nil {
-				u.avoid = map[string]bool{}
-			}
-			u.avoid[node] = true
-		}
-	}
-	u.latest = c.deadline(s, now) - c.chain(s)
-	u.sure = u.queue.Priority == 0 && c.guaranteed(s.job())
-	return append(us, u)
-}
-
-// deadline returns when an occurrence has to be done to meet the objective of its job.
-func (c *Core) deadline(s *stepRun, now time.Duration) time.Duration {
-	return now - s.occurrence.waited(now) + c.objective(s.job())
-}
-
-// objective returns the time in which a job, or each occurrence of it, should be done.
-func (c *Core) objective(j *job) time.Duration {
-	q := c.queue(j)
-	longest := time.Duration(0)
-	ends := make([]time.Duration, len(j.Steps))
-	for i := range j.Steps {
-		start := time.Duration(0)
-		for _, a := range j.Steps[i].After {
-			start = max(start, ends[a])
-		}
-		ends[i] = start + c.estimate(j, &j.Steps[i])
-		longest = max(longest, ends[i])
-	}
-	return time.Duration(float64(longest)*q.Slack) + q.Target
-}
-
-// chain returns the time of the longest chain of steps that begins with a step.
-func (c *Core) chain(s *stepRun) time.Duration {
-	after := time.Duration(0)
-	for _, next := range s.occurrence.steps[s.index+1:] {
-		if slices.Contains(next.spec.After, s.index) {
-			after = max(after, c.chain(next))
-		}
-	}
-	return c.expected(s) + after
-}
-
 // planner is one pass over the units.
 type planner struct {
 	core     *Core
@@ -362,112 +261,3 @@
 	}
 	return best
 }
-
-// await claims room for n tasks by preemption if the unit may do so and cannot wait, or keeps room that becomes free.
-func (p *planner) await(u unit, n int) {
-	if cl := p.core.claims[u.step]; cl != nil {
-		n -= len(cl.nodes)
-	}
-	if n <= 0 {
-		return
-	}
-	if u.queue.Priority == 0 {
-		if _, nodes := p.forecast(u, n, p.now+preemptPatience); nodes != nil {
-			return
-		}
-		if more := p.preempt(u, n); more != nil {
-			p.keepClaim(more)
-			p.core.addClaim(u.step, more)
-			return
-		}
-	}
-	if p.kept < reservations {
-		if at, nodes := p.forecast(u, n, forever); nodes != nil {
-			p.reserve(at, nodes)
-		}
-	}
-}
-
-const (
-	// preemptPatience is the wait for room that becomes free by itself: about the time that stopping takes. Longer
-	// waits would have to trust estimates, and work that starts too late costs more than work that starts again.
-	preemptPatience = 150 * time.Millisecond
-	// forever is later than any task ends.
-	forever = time.Duration(math.MaxInt64)
-)
-
-// release is room that becomes free when a task ends.
-type release struct {
-	at   time.Duration
-	node string
-	room batch.Resources
-}
-
-// upcoming returns the releases of all running tasks, the earliest first. They are the same for all units of a plan.
-func (p *planner) upcoming() []release {
-	if p.releases != nil {
-		return p.releases
-	}
-	p.releases = []release{}
-	for _, w := range p.core.fleet {
-		if _, ok := p.free[w.node]; !ok {
-			continue
-		}
-		for _, t := range w.sorted() {
-			p.releases = append(p.releases, release{p.now + p.core.remaining(t, p.now), w.node, t.step.spec.Reserved()})
-		}
-	}
-	slices.SortStableFunc(p.releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
-	return p.releases
-}
-
-// forecast returns the earliest time, up to a limit, at which n tasks of the unit, or one task of a step without a gang,
-// fit as running tasks end, and the workers.
-func (p *planner) forecast(u unit, n int, limit time.Duration) (time.Duration, []string) {
-	if !u.step.spec.Gang {
-		n = 1
-	}
-	need := u.step.spec.Reserved()
-	cs := p.eligible(u, p.free, false, true)
-	index := make(map[string]int, len(cs))
-	copies := 0
-	for i, c := range cs {
-		index[c.node] = i
-		copies += max(c.copies, 0)
-	}
-	for _, r := range p.upcoming() {
-		if r.at > limit {
-			break
-		}
-		i, ok := index[r.node]
-		if !ok {
-			continue
-		}
-		c := &cs[i]
-		copies -= max(c.copies, 0)
-		c.free = c.free.Plus(r.room)
-		c.copies = need.Copies(c.free)
-		if m := u.step.spec.MaxPerWorker; m > 0 {
-			c.copies = min(c.copies, m-u.step.on(c.node))
-		}
-		copies += max(c.copies, 0)
-		if copies < n {
-			continue
-		}
-		fitting := slices.DeleteFunc(slices.Clone(cs), func(c candidate) bool { return c.copies <= 0 })
-		if nodes := p.chooseFrom(u, n, fitting); nodes != nil {
-			return r.at, nodes
-		}
-	}
-	return 0, nil
-}
-
-// reserve keeps workers for a unit from a time on.
-func (p *planner) reserve(from time.Duration, nodes []string) {
-	p.kept++
-	for _, node := range nodes {
-		if at, ok := p.reserved[node]; !ok || from < at {
-			p.reserved[node] = from
-		}
-	}
-}
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -331,7 +331,7 @@
 			break
 		}
 		for _, o := range f.c.Committed(b, 1, at) {
-			f.c.Answered(o, batch.Accepted, "", at, f.wall)
+			f.c.Answered(o, batch.Accepted, "", at)
 			orders = append(orders, o)
 		}
 	}
@@ -395,7 +395,7 @@
 		t.Fatalf("orders %+v, want a stop on the other worker than %s", second, first[0].Node)
 	}
 	f.report(first[0].Node, 1300*time.Millisecond)
-	f.c.Answered(first[0], batch.Accepted, "", 1150*time.Millisecond, f.wall)
+	f.c.Answered(first[0], batch.Accepted, "", 1150*time.Millisecond)
 	f.report(first[0].Node, 1500*time.Millisecond)
 	for _, o := range f.settle(1500 * time.Millisecond) {
 		if o.Kind == OrderStart && o.Task.Job != "00000000000000c1" {
@@ -468,8 +468,8 @@
 		t.Fatal(b, err)
 	}
 	starts := f.c.Committed(b, 1, 0)
-	f.c.Answered(starts[0], batch.Accepted, "", 0, f.wall)
-	f.c.Answered(starts[1], batch.NoRoom, "", 0, f.wall)
+	f.c.Answered(starts[0], batch.Accepted, "", 0)
+	f.c.Answered(starts[1], batch.NoRoom, "", 0)
 	orders := f.c.Orders()
 	if len(orders) != 1 || orders[0].Kind != OrderStop || orders[0].Task != starts[0].Task {
 		t.Fatalf("orders %+v, want a stop of %v", orders, starts[0].Task)
@@ -496,8 +496,8 @@
 		t.Fatal(b, err)
 	}
 	start := f.c.Committed(b, 1, 0)[0]
-	f.c.Answered(start, batch.Unknown, "", 400*time.Millisecond, f.wall)
-	f.c.Answered(start, batch.Stale, "", 500*time.Millisecond, f.wall)
+	f.c.Answered(start, batch.Unknown, "", 400*time.Millisecond)
+	f.c.Answered(start, batch.Stale, "", 500*time.Millisecond)
 	for _, o := range f.settle(600 * time.Millisecond) {
 		if o.Kind == OrderStart && o.Run != start.Run {
 			t.Fatalf("run %d starts before the list of %s was read", o.Run, start.Node)
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -240,7 +240,7 @@
 		if s == nil || !s.offer(o) {
 			klog.InfoS("Order not sent", "order", o.Kind, "task", o.Task, "run", o.Run, "node", o.Node,
 				"reason", "no session, or too many orders waiting")
-			t.core.Answered(o, batch.Refused, "not sent", boottime.Now(), time.Now())
+			t.core.Answered(o, batch.Refused, "not sent", boottime.Now())
 		}
 	}
 }
@@ -249,7 +249,7 @@
 func (t *termRun) answered(o Order, v batch.Verdict, problem string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.core.Answered(o, v, problem, boottime.Now(), time.Now())
+	t.core.Answered(o, v, problem, boottime.Now())
 	t.poke()
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -13,6 +13,7 @@
 	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/relay"
 	"masticcart.example/masticcart/internal/rpc"
+	"masticcart.example/masticcart/internal/wait"
 )
 
 const (
@@ -105,16 +106,16 @@
 
 // serve keeps a connection and asks for reports on it.
 func (s *session) serve(ctx context.Context) {
-	wait := redialPause
+	pause := redialPause
 	for ctx.Err() == nil {
 		conn, err := s.dial(ctx)
 		if err != nil {
 			klog.V(1).InfoS("Agent not reached", "node", s.node, "err", err)
-			pause(ctx, wait)
-			wait = min(2*wait, redialPauseMax)
+			wait.For(ctx, pause)
+			pause = min(2*pause, redialPauseMax)
 			continue
 		}
-		wait = redialPause
+		pause = redialPause
 		klog.InfoS("Agent connected", "node", s.node, "address", conn.Remote())
 		err = s.follow(ctx, conn)
 		s.mu.Lock()
@@ -160,7 +161,7 @@
 			problem = r.Problem
 		}
 		if r.Problem != "" {
-			pause(ctx, redialPause)
+			wait.For(ctx, redialPause)
 		}
 	}
 	return ctx.Err()
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -269,7 +269,7 @@
 	answer := func(v batch.Verdict) {
 		s.after(s.latency(), func() {
 			if s.core == c {
-				c.Answered(o, v, "", s.now, s.wall())
+				c.Answered(o, v, "", s.now)
 			}
 		})
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -134,7 +134,7 @@
 		w.left = true
 		c.changed = true
 		klog.InfoS("Worker has left", "node", w.node, "worker", w.info.Life, "tasks", len(w.tasks))
-		c.loseTasks(w, "worker left", r.Heard, wall)
+		c.loseTasks(w, "worker left", r.Heard)
 	}
 	if r.Runs == nil {
 		return
@@ -149,7 +149,7 @@
 		w.told = max(w.told, r.Forget)
 	}
 	if !w.heard {
-		c.adopt(w, r.Runs, r.Heard, wall)
+		c.adopt(w, r.Runs, r.Heard)
 		klog.InfoS("Worker reached", "node", w.node, "worker", w.info.Life, "running", len(r.Runs.Running),
 			"ended", len(r.Runs.Ended))
 		c.changed = true
@@ -159,7 +159,7 @@
 	}
 	w.heard, w.asked, w.clockMS, w.clockAt = true, r.Asked, r.Runs.ClockMS, r.Heard
 	c.ends(w, r.Runs.Ended, r.Heard, wall)
-	c.running(w, r, wall)
+	c.running(w, r)
 }
 
 // describe takes what a worker says of itself. What ran on a life before is settled by the first list of the new one.
@@ -187,11 +187,11 @@
 }
 
 // check ends the tasks of a worker whose leases have all expired, and repeats orders without effect.
-func (c *Core) check(w *worker, now time.Duration, wall time.Time) {
+func (c *Core) check(w *worker, now time.Duration) {
 	if now > w.expires && len(w.tasks) > 0 {
 		klog.InfoS("Worker lost", "node", w.node, "worker", w.life(), "tasks", len(w.tasks),
 			"silentMs", (now - w.clockAt).Milliseconds(), "heard", w.heard)
-		c.loseTasks(w, "lease expired", now, wall)
+		c.loseTasks(w, "lease expired", now)
 	}
 	for _, t := range w.sorted() {
 		if t.phase == stopping && now-t.stopAt >= stopRepeat && now-w.clockAt <= freshFor {
@@ -201,15 +201,15 @@
 }
 
 // loseTasks takes all tasks of a worker as ended without an outcome.
-func (c *Core) loseTasks(w *worker, reason string, now time.Duration, wall time.Time) {
+func (c *Core) loseTasks(w *worker, reason string, now time.Duration) {
 	for _, t := range w.sorted() {
-		c.lose(t, reason, now, wall)
+		c.lose(t, reason, now)
 	}
 }
 
 // adopt settles the tasks of lives before the present one: their runs have ended, unless an order that came late was
 // carried out by the present life.
-func (c *Core) adopt(w *worker, runs *batch.Runs, now time.Duration, wall time.Time) {
+func (c *Core) adopt(w *worker, runs *batch.Runs, now time.Duration) {
 	type key struct {
 		task batch.TaskID
 		run  int
@@ -228,15 +228,15 @@
 			klog.InfoS("Run adopted", "task", t.id, "run", t.run, "node", w.node, "worker", w.info.Life, "before", t.life)
 			t.life = w.info.Life
 		default:
-			c.lose(t, "worker started again", now, wall)
+			c.lose(t, "worker started again", now)
 		}
 	}
 }
 
-func (c *Core) lose(t *task, reason string, now time.Duration, wall time.Time) {
+func (c *Core) lose(t *task, reason string, now time.Duration) {
 	c.stats.Lost++
 	klog.InfoS("Run lost", "task", t.id, "run", t.run, "node", t.node, "worker", t.life, "reason", reason,
 		"percent", t.percent, "checkpoint", t.checkpoint)
-	c.release(t, now, wall)
+	c.release(t, now)
 	c.breakGang(t, "member lost", now)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"masticcart.example/masticcart/internal/kvstore/memstore"
+	"masticcart.example/masticcart/internal/wait"
 	"masticcart.example/masticcart/platform"
 	"masticcart.example/masticcart/platform/standin"
 )
@@ -203,14 +204,7 @@
 	}
 }
 
-func (r *run) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.ctx.Done():
-	}
-}
+func (r *run) sleep(d time.Duration) { wait.For(r.ctx, d) }
 
 // freePorts returns the first of n ports in a row that are free now. Runs of different seeds look in different places.
 func freePorts(seed uint64, n int) (int, error) {
