A job with nothing running starts while the fleet is mostly idle

Cause: room for two urgent jobs of mean size was kept free as long as the job had six tenths of its slack left. Reservations of gangs and the wait for a rack with the data can do the same. Ruled out: lost acceptance and a lost leader (the leader answered `queued`).

Change: a unit whose job has had nothing running for 2 s is placed despite all three while a resource of its service is more than half free and the unit fits twice.

Test: TestJobStartsWhileTheFleetIsIdle; each of its three cases fails before.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -57,13 +57,13 @@
 		p.giveBack(cl)
 	}
 	if u.step.spec.Gang {
-		if nodes := p.choose(u, len(u.tasks), true); nodes != nil {
+		if nodes := p.choose(u, len(u.tasks)); nodes != nil {
 			p.assign(u, u.tasks, nodes)
 			u.tasks = nil
 		}
 	} else {
 		for len(u.tasks) > 0 {
-			nodes := p.choose(u, 1, true)
+			nodes := p.choose(u, 1)
 			if nodes == nil {
 				break // the tasks of a step are alike
 			}
@@ -123,11 +123,47 @@
 }
 
 // choose returns workers for n tasks of the unit with what is free now, or nil.
-func (p *planner) choose(u unit, n int, backfill bool) []string {
+func (p *planner) choose(u unit, n int) []string {
+	if p.mustStart(u, n) {
+		cs := p.candidates(u, p.free, false)
+		if nodes := p.chooseFrom(u, n, cs); nodes != nil {
+			return nodes
+		}
+		return pack(cs, u.step.spec.Reserved(), n)
+	}
 	if p.mustLeaveRoom(u, n) {
 		return nil
 	}
-	return p.chooseFrom(u, n, p.candidates(u, p.free, backfill))
+	return p.chooseFrom(u, n, p.candidates(u, p.free, true))
+}
+
+const (
+	// idlePatience is how long a job without a running task may be held back while the fleet is mostly idle. The
+	// platform's rules allow three seconds; the start itself takes part of the last one.
+	idlePatience = 2 * time.Second
+	// idleShare is the share of a resource in use below which the fleet counts as mostly idle.
+	idleShare = 0.5
+	// idleCopies is how many times over the unit has to fit.
+	idleCopies = 2
+)
+
+// mustStart reports whether the job has nothing running, has waited for long enough, and the fleet is mostly idle. Room
+// that is kept for other units, and for data, is no reason then to leave workers unused.
+func (p *planner) mustStart(u unit, n int) bool {
+	j := u.step.job()
+	if j.idleSince == never || p.now-j.idleSince < idlePatience || !j.idle() {
+		return false
+	}
+	var free, capacity batch.Resources
+	for node, r := range p.free {
+		if w := p.core.workers[node]; w.info.Service == u.queue.Service {
+			free, capacity = free.Plus(r), capacity.Plus(w.info.Capacity)
+		}
+	}
+	if !free.AnyShareAbove(1-idleShare, capacity) {
+		return false
+	}
+	return pack(p.candidates(u, p.free, false), u.step.spec.Reserved(), idleCopies*n) != nil
 }
 
 // mustLeaveRoom reports whether a unit that can wait would take the accelerators that urgent jobs will need soon.
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -597,3 +597,60 @@
 		t.Errorf("%v is run %d on %v", ids[0], x.run, x.life)
 	}
 }
+
+// Room for urgent jobs, reservations and waiting for data must not keep a job from idle workers for three seconds (LOST on
+// baltoptika-mc, scale-2 seed 818915219767): the job had nothing running, and half of the workers were free.
+func TestJobStartsWhileTheFleetIsIdle(t *testing.T) {
+	one := batch.Step{Count: 1, Estimate: 30 * time.Second, Need: batch.Resources{Accelerators: 1}}
+	faraway := one
+	faraway.DataRack = "another"
+	cases := map[string]struct {
+		step  batch.Step
+		setUp func(*fixture)
+	}{
+		"room is kept for urgent jobs": {one, func(f *fixture) {
+			f.submit("00000000000000d1", 0, 0, batch.Step{Count: 2, Estimate: time.Millisecond, Need: batch.Resources{Accelerators: 8}})
+			f.c.finish(f.c.jobs["00000000000000d1"], batch.Cancelled, 0, f.wall)
+		}},
+		"a gang has reserved all workers": {one, func(f *fixture) {
+			f.submit("00000000000000d2", 1, 0, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+			f.settle(0)
+			f.submit("00000000000000d3", 1, 0, batch.Step{Count: 4, Gang: true, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+		}},
+		"the rack of the data is full": {faraway, func(f *fixture) {
+			f.c.Report(Report{Node: "e", Worker: &batch.Worker{Life: batch.Life{ID: "e", Born: 1}, Service: "s", Rack: "another",
+				Capacity: batch.Resources{Accelerators: 1}, Sequence: 1}, Runs: &batch.Runs{Life: batch.Life{ID: "e", Born: 1}}}, f.wall)
+			f.submit("00000000000000d4", 1, 0, faraway)
+			f.settle(0)
+		}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "a", "b", "c", "d")
+			f.wall = f.wall.Add(time.Minute)
+			test.setUp(f)
+			f.submit("00000000000000e1", 2, 0, test.step)
+			for at := time.Duration(0); at <= 2800*time.Millisecond; at += 100 * time.Millisecond {
+				for _, node := range []string{"a", "b", "c", "d"} {
+					f.report(node, at, f.c.listed(node, 1+int(at/(100*time.Millisecond)))...)
+				}
+				for _, o := range f.settle(at) {
+					if o.Kind == OrderStart && o.Task.Job == "00000000000000e1" {
+						return
+					}
+				}
+			}
+			e, _ := f.c.Explain("00000000000000e1", 2800*time.Millisecond)
+			t.Errorf("not started: %+v", e)
+		})
+	}
+}
+
+// listed returns what a worker that runs all its tasks reports.
+func (c *Core) listed(node string, percent int) []batch.RunningTask {
+	var runs []batch.RunningTask
+	for _, t := range c.workers[node].sorted() {
+		runs = append(runs, batch.RunningTask{Task: t.id, Run: t.run, Percent: percent})
+	}
+	return runs
+}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -113,6 +113,7 @@
 	finishedAt  time.Time
 	seenAt      time.Duration // when this leader learned of the job
 	age         time.Duration // how old it was then, by the time of day
+	idleSince   time.Duration // from when on it could run and had no task on a worker; never if it has one
 
 	revision kvstore.Revision // of the record; zero: not recorded yet
 	recorded batch.State      // the state in the record; what callers are told
@@ -123,10 +124,13 @@
 }
 
 func newJob(b batch.Job, now time.Duration, wall time.Time) *job {
-	return &job{Job: b, state: batch.Queued, recorded: batch.Queued, occurrences: map[int]*occurrence{}, seenAt: now,
+	return &job{Job: b, state: batch.Queued, recorded: batch.Queued, occurrences: map[int]*occurrence{}, seenAt: now, idleSince: never,
 		age: max(0, wall.Sub(b.AcceptedAt))}
 }
 
+// never is the time of what has not happened.
+const never time.Duration = -1
+
 // waited returns how long ago the job was accepted.
 func (j *job) waited(now time.Duration) time.Duration { return j.age + now - j.seenAt }
 
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -22,6 +22,7 @@
 func (c *Core) units(now time.Duration) []unit {
 	var us []unit
 	for _, j := range c.order {
+		before := len(us)
 		for n := range j.next {
 			o := j.occurrences[n]
 			if o == nil {
@@ -33,6 +34,7 @@
 				}
 			}
 		}
+		j.noteIdle(len(us) > before, now)
 	}
 	slices.SortStableFunc(us, func(a, b unit) int {
 		return cmp.Or(cmp.Compare(a.queue.Priority, b.queue.Priority), -compareBool(a.sure, b.sure),
@@ -41,6 +43,16 @@
 	return us
 }
 
+// noteIdle keeps the time from which the job could run and has nothing on any worker.
+func (j *job) noteIdle(ready bool, now time.Duration) {
+	switch {
+	case !ready || !j.idle():
+		j.idleSince = never
+	case j.idleSince == never:
+		j.idleSince = now
+	}
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
