platform query lists jobs and workers; metrics on the deploy file's port; exit code 78

Operators on the users' platform could ask for one job only (`platform explain`). The leader now evaluates the query language on its own state; queues are shown as rules. The role takes the port as a flag. Wrong settings on the platform ended with exit code 1, not 78 as documented.

--- a/cmd/masticcartd/main.go
+++ b/cmd/masticcartd/main.go
@@ -39,8 +39,8 @@
 	agentStopTimeout = 24 * time.Hour
 )
 
-func main() {
-	app := &cli.Command{
+func newApp() *cli.Command {
+	return &cli.Command{
 		Name:  "masticcartd",
 		Usage: "daemon of masticcart: an entry host or the agent beside an upstream",
 		Description: "The settings file is JSON with comments; docs/settings.md lists its fields.\n" +
@@ -48,12 +48,16 @@
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "run until SIGTERM or SIGINT, then stop gracefully", ArgsUsage: "FILE", Action: runDaemon},
 			{Name: "platform", Usage: "run on the users' platform, with the settings file that the environment names",
+				Flags:  []cli.Flag{&cli.IntFlag{Name: flagMetricsPort, Usage: "`PORT` for metrics; 0 is the second internal port"}},
 				Action: runHosted},
 			{Name: "check", Usage: "check a settings file and print what it says", ArgsUsage: "FILE", Action: check},
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
-	err := app.Run(context.Background(), os.Args)
+}
+
+func main() {
+	err := newApp().Run(context.Background(), os.Args)
 	klog.Flush()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "masticcartd:", err)
@@ -61,12 +65,18 @@
 	}
 }
 
+// flagMetricsPort lets the deploy file, which names one port for all days, choose the port.
+const flagMetricsPort = "metrics-port"
+
+// errHostedSettings means that the settings file of the users' platform is missing or wrong.
+var errHostedSettings = errors.New("settings")
+
 var errUsage = errors.New("usage: masticcartd run|check FILE")
 
 func exitCode(err error) int {
 	var wrong *settings.Error
 	switch {
-	case errors.As(err, &wrong):
+	case errors.As(err, &wrong), errors.Is(err, errHostedSettings):
 		return exitSettings
 	case errors.Is(err, errUsage):
 		return exitUsage
@@ -111,11 +121,12 @@
 }
 
 // runHosted runs an entry or an agent on the users' platform.
-func runHosted(ctx context.Context, _ *cli.Command) error {
+func runHosted(ctx context.Context, c *cli.Command) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errHostedSettings, err)
 	}
+	s.MetricsPort = c.Int(flagMetricsPort)
 	lines := logging.UseJSON(s.Node)
 	defer lines.Flush()
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/hosted/leader.go
+++ b/internal/hosted/leader.go
@@ -13,6 +13,7 @@
 	"masticcart.example/masticcart/internal/election"
 	"masticcart.example/masticcart/internal/intake"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/query"
 	"masticcart.example/masticcart/internal/rpc"
 	"masticcart.example/masticcart/internal/scheduler"
 )
@@ -22,6 +23,7 @@
 	methodPending = "scheduler.pending"
 	methodLearn   = "scheduler.learn"
 	methodExplain = "scheduler.explain"
+	methodQuery   = "scheduler.query"
 	methodState   = "scheduler.state"
 )
 
@@ -41,37 +43,6 @@
 	Known bool        `json:"known"`
 }
 
-type explainRequest struct {
-	Job string `json:"job"`
-}
-
-// Explain asks the entries at the addresses, which are those of their RPC listeners, one after the other; the one that
-// leads answers.
-func Explain(ctx context.Context, addresses []string, job string) (*scheduler.Explanation, error) {
-	var problems []error
-	for _, address := range addresses {
-		e, err := explainAt(ctx, address, job)
-		if err == nil {
-			return e, nil
-		}
-		problems = append(problems, err)
-	}
-	return nil, errors.Join(problems...)
-}
-
-func explainAt(ctx context.Context, address, job string) (*scheduler.Explanation, error) {
-	conn, err := rpc.Dial(ctx, address, nil, nil, &rpc.Meter{})
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	var e scheduler.Explanation
-	if err := conn.Call(ctx, methodExplain, explainRequest{Job: job}, &e); err != nil {
-		return nil, err
-	}
-	return &e, nil
-}
-
 type releaseRequest struct {
 	Term int64 `json:"term"`
 }
@@ -138,6 +109,9 @@
 			}
 			return e, nil
 		}),
+		methodQuery: rpc.Method(func(_ context.Context, _ *rpc.Conn, r queryRequest) (*query.Result, error) {
+			return evaluate(s, r.Text)
+		}),
 		methodState: rpc.Method(func(ctx context.Context, _ *rpc.Conn, r stateRequest) (stateResponse, error) {
 			state, known := s.State(ctx, r.Job, time.Duration(r.WaitMS)*time.Millisecond)
 			return stateResponse{State: state, Known: known}, nil
--- a/internal/hosted/path_test.go
+++ b/internal/hosted/path_test.go
@@ -209,6 +209,31 @@
 	}
 }
 
+// Operators list jobs, workers, teams and queues of a deployment whose callers do not speak the product's interface.
+func TestOperatorsQueryTheLeader(t *testing.T) {
+	s := newSite(t, 2)
+	s.accept(0, 1, standin.FourTasks(3000))
+	s.eventually(5*time.Second, "running", func() bool { return s.state(0, 1) == "running" })
+	s.accept(1, 2, standin.FourTasks(10))
+	addresses := []string{s.entries[0].settings.RPCAddress(), s.entries[1].settings.RPCAddress()}
+	for text, want := range map[string]string{
+		"show jobs where state = running":     `"0000000000000001"`,
+		"show workers where state = alive":    `"side-1"`,
+		"show teams":                          `"t"`,
+		"show rules where class = normal":     `"q"`,
+		"explain job t/0000000000000001":      `"state","running"`,
+		"show jobs where accelerators >= 100": `"rows":[]`,
+	} {
+		answer, err := Query(context.Background(), addresses, text)
+		if err != nil || !strings.Contains(string(answer), want) {
+			t.Errorf("%s: %s, %v; want %s in it", text, answer, err, want)
+		}
+	}
+	if _, err := Query(context.Background(), addresses, "show everything"); err == nil {
+		t.Error("a wrong query is answered")
+	}
+}
+
 // An agent that restarts and a leader that stops, with work running, lose nothing and start nothing twice.
 func TestRestartsLoseNothing(t *testing.T) {
 	s := newSite(t, 2)
--- a/internal/hosted/reload.go
+++ b/internal/hosted/reload.go
@@ -37,6 +37,7 @@
 		klog.ErrorS(err, "Settings not reloaded", "inUse", "those before")
 		return false
 	}
+	fresh.MetricsPort = s.MetricsPort // is not in the file
 	changed := !reflect.DeepEqual(fresh, s)
 	klog.InfoS("Settings reloaded", "changed", changed, "effect", map[bool]string{true: "at the next start", false: "none"}[changed])
 	return changed
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -12,6 +12,7 @@
 	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/election"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/protocol"
 	"masticcart.example/masticcart/internal/rpc"
 )
 
@@ -171,6 +172,18 @@
 	return e, known, true
 }
 
+// View describes all jobs and workers, and returns the configuration in force. leads is false unless this process leads.
+func (s *Service) View() (jobs []protocol.JobView, workers []protocol.WorkerView, catalog *batch.Catalog, leads bool) {
+	t := s.current()
+	if t == nil {
+		return nil, nil, nil, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	jobs, workers = t.core.View(boottime.Now(), time.Now())
+	return jobs, workers, t.core.catalog, true
+}
+
 // depose ends the term for a reason.
 func (t *termRun) depose(err error) {
 	select {
