A suspended owner holds no outcome back; a body of 100 MB gets its 413

Causes: (1) a caller that waits for work that is not idempotent waits at the owner of the cell until its own deadline; a suspended owner answers nothing, and the record was not looked at meanwhile. (2) The entry closed the connection with unread bytes, which resets it before the caller reads the answer.

--- a/internal/entry/api_work.go
+++ b/internal/entry/api_work.go
@@ -19,6 +19,11 @@
 const (
 	// maxWait bounds one long poll on a job.
 	maxWait = time.Minute
+	// ownerWaitTimeout bounds one call that waits at the owner of a cell, so that an owner that does not answer any more, such as a
+	// suspended one, does not keep a recorded outcome from the caller.
+	ownerWaitTimeout = time.Second
+	// ownerCallSlack is what the call may take beside the wait.
+	ownerCallSlack = 500 * time.Millisecond
 	// waitPoll is the pause between looks at the record when its owner cannot be asked.
 	waitPoll = 250 * time.Millisecond
 	// withdrawTimeout bounds the last calls for a request whose deadline has passed.
@@ -271,10 +276,12 @@
 	if owner.Entry == s.table.Self(now).Entry {
 		return s.cell.Wait(ctx, job.Spec.Key)
 	}
-	timeout := maxWait
+	timeout := ownerWaitTimeout
 	if deadline, ok := ctx.Deadline(); ok {
-		timeout = time.Until(deadline)
+		timeout = min(timeout, time.Until(deadline))
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+ownerCallSlack)
+	defer cancel()
 	var answer protocol.WaitReply
 	err := s.peers.CallAddress(ctx, owner.Address, protocol.MethodWait, protocol.WaitArgs{Job: job.Spec.Key, Timeout: timeout}, &answer)
 	return answer.Job, answer.Known, err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,6 +20,7 @@
 	"masticcart.example/masticcart/internal/membership"
 	"masticcart.example/masticcart/internal/routing"
 	"masticcart.example/masticcart/internal/settings"
+	"masticcart.example/masticcart/internal/transport"
 )
 
 const (
@@ -106,7 +107,8 @@
 func (s *Server) wrap(path string, h handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		started := time.Now()
-		r.Body = http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes)
+		whole := r.Body
+		r.Body = http.MaxBytesReader(w, whole, s.settings.MaxBodyBytes)
 		if err := http.NewResponseController(w).SetReadDeadline(started.Add(bodyTimeout)); err != nil {
 			klog.V(2).InfoS("Read deadline not set", "err", err)
 		}
@@ -115,6 +117,11 @@
 		scope.Timer("latency").Record(time.Since(started))
 		if err != nil {
 			scope.Tagged(map[string]string{"code": codeOf(err)}).Counter("errors").Inc(1)
+			if statusOf(err) == http.StatusRequestEntityTooLarge {
+				if err := transport.DrainBody(w, whole); err != nil {
+					klog.InfoS("Body not read to its end", "path", path, "err", err)
+				}
+			}
 			s.writeError(w, err)
 			return
 		}
--- a/internal/processtest/api_test.go
+++ b/internal/processtest/api_test.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -116,6 +117,7 @@
 			t.Errorf("%s: status %d, code %q (%s), want %d, %q", call.name, status, reply.Code, reply.Error, call.status, call.code)
 		}
 	}
+	d.hugeBody(address)
 	d.deadlines(address)
 	d.request(d.a, "after", 0, model.ResultDone)
 	select {
@@ -135,6 +137,26 @@
 	}
 }
 
+// hugeBody sends a body far above the limit in one piece, as simple clients do that read no answer before they are done.
+func (d *deployment) hugeBody(address string) {
+	d.Helper()
+	const size = 100 << 20
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		d.Fatal(err)
+	}
+	defer conn.Close()
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+		api.PathJobs, tokenOf(teamA), size)
+	if _, err := conn.Write(append([]byte(head), make([]byte, size)...)); err != nil {
+		d.Errorf("100 MB body: %v, want it read", err)
+	}
+	answer, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil || !strings.Contains(answer, "413") {
+		d.Errorf("100 MB body: answer %q, %v, want 413", answer, err)
+	}
+}
+
 // deadlines sends jobs that can never start: each must be accepted and end refused, or be refused at once.
 func (d *deployment) deadlines(address string) {
 	d.Helper()
--- a/internal/processtest/signals_test.go
+++ b/internal/processtest/signals_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"masticcart.example/masticcart/internal/client"
+	"masticcart.example/masticcart/internal/client/api"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/protocol"
 )
@@ -201,6 +202,43 @@
 	}
 }
 
+// TestSuspendedOwnerDoesNotHoldAnOutcomeBack guards against a caller that hears of a recorded outcome only at its deadline,
+// because the entry that it uses waits for an owner of the cell that has been suspended.
+func TestSuspendedOwnerDoesNotHoldAnOutcomeBack(t *testing.T) {
+	t.Parallel()
+	const recordedBound = 3 * time.Second // from the record of the outcome to the answer
+	d := deploy(t, sizes(2, 1))
+	name, address := d.owner("riga")
+	_, through := d.other("riga")
+	body := api.RequestBody{ID: "once", Team: teamB, Kind: "retrace", Service: service, Idempotent: new(bool),
+		TimeoutMS: requestTimeout.Milliseconds(), Payload: payload(500*time.Millisecond, 0)}
+	ctx, cancel := context.WithTimeout(d.Context(), outcomeTime)
+	defer cancel()
+	first := make(chan struct{})
+	go func() {
+		defer close(first)
+		_, _ = d.only(tokenOf(teamB), address).Request(ctx, body) // the answer is lost with its entry
+	}()
+	time.Sleep(20 * time.Millisecond) // the moment of the fault
+	d.signal(name, syscall.SIGSTOP)
+	defer func() {
+		d.signal(name, syscall.SIGCONT)
+		<-first
+	}()
+	o, err := d.only(tokenOf(teamB), through).Request(ctx, body)
+	answered := time.Now()
+	if err != nil || o.Result != model.ResultDone {
+		t.Fatalf("%+v, %v, want done", o, err)
+	}
+	job, err := d.only(tokenOf(teamB), through).Job(ctx, model.JobKey{Team: teamB, ID: "once"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if late := answered.Sub(job.Finished); late > recordedBound {
+		t.Errorf("answered %s after the outcome was recorded, want at most %s", late, recordedBound)
+	}
+}
+
 // agentOf returns the agent beside an upstream that started the job.
 func (d *deployment) agentOf(key string) string {
 	d.Helper()
