--- a/cmd/masticcart-soak/main.go
+++ b/cmd/masticcart-soak/main.go
@@ -24,11 +24,13 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the faults; 0 draws one and prints it"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "how long faults are injected"},
 			&cli.IntFlag{Name: "entries", Value: 3},
-			&cli.IntFlag{Name: "workers", Value: 6},
+			&cli.IntFlag{Name: "workers", Value: 6, Usage: "each with an agent"},
+			&cli.FloatFlag{Name: "rate", Value: 2, Usage: "submissions a second"},
 			&cli.StringFlag{Name: "daemon", Value: "bin/masticcartd", Usage: "`PATH` of masticcartd"},
 			&cli.StringFlag{Name: "keep", Usage: "`DIR` for settings and logs; else a temporary one, kept if a rule is broken"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: standIns(),
 	}
 	err := app.Run(ctx, os.Args)
 	stop()
@@ -38,6 +40,23 @@
 	}
 }
 
+// standIns are the processes that a run starts beside the programs under test.
+func standIns() []*cli.Command {
+	text := func(name string) cli.Flag { return &cli.StringFlag{Name: name, Required: true} }
+	return []*cli.Command{
+		{Name: "worker", Hidden: true, Flags: []cli.Flag{text("id"), text("rack"), text("listen"), text("control")},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return soak.Worker(ctx, c.String("id"), c.String("rack"), c.String("listen"), c.String("control"))
+			}},
+		{Name: "store", Hidden: true, Flags: []cli.Flag{text("listen")},
+			Action: func(ctx context.Context, c *cli.Command) error { return soak.Store(ctx, c.String("listen")) }},
+		{Name: "operator", Hidden: true, Flags: []cli.Flag{text("store"), &cli.Uint64Flag{Name: "seed", Required: true}},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return soak.Operator(ctx, c.String("store"), c.Uint64("seed"))
+			}},
+	}
+}
+
 func run(ctx context.Context, c *cli.Command) error {
 	seed := c.Uint64("seed")
 	if seed == 0 {
@@ -55,9 +74,13 @@
 	} else if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
 	fmt.Printf("seed %d, logs in %s\n", seed, dir)
 	broken, err := soak.Run(ctx, soak.Options{Seed: seed, For: c.Duration("for"), Entries: c.Int("entries"),
-		Workers: c.Int("workers"), Daemon: daemon, Dir: dir})
+		Workers: c.Int("workers"), Rate: c.Float("rate"), Daemon: daemon, Self: self, Dir: dir})
 	if err != nil {
 		return err
 	}
--- a/internal/kvstore/memstore/watch.go
+++ b/internal/kvstore/memstore/watch.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// Compact drops the history: watches from an earlier revision fail with kvstore.ErrCompacted.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = history{compacted: s.revision}
+	s.wake()
+}
+
 // since returns events under the prefix after a revision, and whether it left some out for the bounds.
 func (h *history) since(prefix string, revision kvstore.Revision) (events []kvstore.Event, truncated bool) {
 	first := sort.Search(len(h.events), func(i int) bool { return h.events[i].Revision > revision })
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -14,6 +14,7 @@
 
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/rulecheck"
 )
 
 func TestMain(m *testing.M) {
@@ -58,12 +59,12 @@
 	cut     time.Duration        // no message passes until then
 	known   batch.Life           // the life that the agent knows; it learns of a new one by an announcement
 	leaving bool
-	void    int64 // ends up to this number came before a lapse: taking note of them binds nobody
 }
 
-// extend takes a lease. A longer one than the worker accepts is shortened.
-func (w *simWorker) extend(now time.Duration, lease int64) {
-	w.lease = max(w.lease, min(lease, w.clock(now)+simConfig.MaxLease.Milliseconds()))
+// extend gives a worker a lease. A longer one than the worker accepts is shortened.
+func (s *sim) extend(w *simWorker, lease int64) {
+	w.lease = max(w.lease, min(lease, w.clock(s.now)+simConfig.MaxLease.Milliseconds()))
+	s.check.Extended(w.node, w.started+time.Duration(w.lease)*time.Millisecond*100/98)
 }
 
 func (w *simWorker) clock(now time.Duration) int64 {
@@ -90,12 +91,8 @@
 	calmFrom time.Duration
 	down     time.Duration // the store answers nothing until then
 
-	done      map[batch.TaskID]bool // done for good, or listed and not void yet
-	ever      map[batch.TaskID]bool // has ended done once
-	noted     map[batch.TaskID]bool // the leader let the worker forget that it was done
-	failed    map[batch.TaskID]int
 	cancelled map[string]time.Duration
-	broken    []string
+	check     *rulecheck.Checker
 }
 
 type stored struct {
@@ -110,8 +107,9 @@
 
 func newSim(t *testing.T, seed uint64, workers int) *sim {
 	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), base: time.Unix(1_800_000_000, 0),
-		store: map[string]stored{}, jobs: map[string]batch.Job{}, done: map[batch.TaskID]bool{}, ever: map[batch.TaskID]bool{}, noted: map[batch.TaskID]bool{},
-		failed: map[batch.TaskID]int{}, cancelled: map[string]time.Duration{}, now: time.Second}
+		store: map[string]stored{}, jobs: map[string]batch.Job{}, cancelled: map[string]time.Duration{},
+		now: time.Second, check: rulecheck.New(rulecheck.Bounds{MaxAttempts: simQueue(0).MaxAttempts,
+			LateStart: simConfig.Lease + 3*time.Second})}
 	for i := range workers {
 		w := &simWorker{node: fmt.Sprintf("w%d", i)}
 		s.workers = append(s.workers, w)
@@ -131,14 +129,10 @@
 
 func (s *sim) wall() time.Time { return s.base.Add(s.now) }
 
-func (s *sim) violation(format string, args ...any) {
-	s.broken = append(s.broken, fmt.Sprintf("seed %d at %v: %s", s.seed, s.now, fmt.Sprintf(format, args...)))
-}
-
 // boot starts a new life of a worker.
 func (s *sim) boot(w *simWorker) {
 	w.life = batch.Life{ID: "i-" + w.node, Born: s.wall().UnixMilli()}
-	w.up, w.started, w.lease, w.fence, w.number, w.leaving, w.void = true, s.now, 0, 0, 0, false, 0
+	w.up, w.started, w.lease, w.fence, w.number, w.leaving = true, s.now, 0, 0, 0, false
 	w.runs, w.fenced, w.ended = map[batch.TaskID]*simRun{}, map[batch.TaskID]int{}, nil
 	life := w.life
 	s.after(s.between(0, 400*time.Millisecond), func() { w.known = life })
@@ -194,7 +188,7 @@
 		}
 		w.fence = fence
 		if life == w.known { // the worker itself knows only its id
-			w.extend(s.now, lease)
+			s.extend(w, lease)
 			s.forget(w, forget)
 		}
 		report := Report{Node: w.node, Asked: asked, Forget: forget, Worker: &batch.Worker{Life: w.known, Service: "s", Rack: w.node[:1],
@@ -210,39 +204,14 @@
 	})
 }
 
-// forget drops ends that the leader has taken note of; those that were done stand for good.
+// forget drops ends that the leader has taken note of.
 func (s *sim) forget(w *simWorker, n int64) {
+	s.check.Noted(w.node, n)
 	for len(w.ended) > 0 && w.ended[0].Number <= n {
-		if w.ended[0].How == batch.EndDone && w.ended[0].Number > w.void {
-			s.setDone(w.ended[0].Task)
-			for _, m := range s.members(w.ended[0].Task) {
-				s.noted[m] = true
-			}
-		}
 		w.ended = w.ended[1:]
 	}
 }
 
-// setDone marks a task, or its whole gang, as done.
-func (s *sim) setDone(id batch.TaskID) {
-	for _, m := range s.members(id) {
-		s.done[m], s.ever[m] = true, true
-	}
-}
-
-// members returns a task, or all tasks of its gang.
-func (s *sim) members(id batch.TaskID) []batch.TaskID {
-	if !s.step(id).Gang {
-		return []batch.TaskID{id}
-	}
-	var all []batch.TaskID
-	for n := range s.step(id).Count {
-		id.Index = n
-		all = append(all, id)
-	}
-	return all
-}
-
 func (w *simWorker) sorted() []*simRun {
 	return slices.SortedFunc(maps.Values(w.runs), func(a, b *simRun) int { return a.task.Compare(b.task) })
 }
@@ -341,8 +310,8 @@
 	if used+s.step(o.Task).Need.Accelerators > 8 {
 		return batch.NoRoom
 	}
-	s.checkStart(w, o)
-	w.extend(s.now, lease)
+	s.check.Started(w.node, o.Task, o.Run, o.Payload, s.now)
+	s.extend(w, lease)
 	work := s.between(500*time.Millisecond, 3*time.Second)
 	w.runs[o.Task] = &simRun{task: o.Task, run: o.Run, left: work, whole: work, since: s.now,
 		fails: s.faults && s.rng.Float64() < 0.04, hangs: s.faults && s.rng.Float64() < 0.02}
@@ -354,35 +323,6 @@
 	return &j.Steps[id.Step]
 }
 
-// checkStart checks the rules that a start can break.
-func (s *sim) checkStart(w *simWorker, o Order) {
-	for _, x := range s.workers {
-		if r := x.runs[o.Task]; x != w && x.up && r != nil {
-			s.violation("TWICE: %v run %d starts on %s while run %d is on %s", o.Task, o.Run, w.node, r.run, x.node)
-		}
-	}
-	if s.done[o.Task] {
-		s.violation("TWICE: %v run %d starts after it was done", o.Task, o.Run)
-	}
-	if s.failed[o.Task] >= simQueue(0).MaxAttempts {
-		s.violation("BUDGET: %v run %d starts after %d failures", o.Task, o.Run, s.failed[o.Task])
-	}
-	if at, ok := s.cancelled[o.Task.Job]; ok && s.now > at+simConfig.Lease+3*time.Second {
-		s.violation("UNASKED: %v starts %v after its cancellation", o.Task, s.now-at)
-	}
-	j := s.jobs[o.Task.Job]
-	for _, a := range s.step(o.Task).After {
-		for n := range j.Steps[a].Count {
-			if !s.ever[batch.TaskID{Job: j.ID, Occurrence: o.Task.Occurrence, Step: a, Index: n}] {
-				s.violation("ORDER: %v starts before step %d has ended", o.Task, a)
-			}
-		}
-	}
-	if o.Payload != j.Payload {
-		s.violation("UNASKED: %v starts with another payload", o.Task)
-	}
-}
-
 // work moves the runs of a worker on.
 func (s *sim) work(w *simWorker) {
 	if !w.up {
@@ -390,7 +330,7 @@
 	}
 	lapsed := w.lease <= w.clock(s.now)
 	if lapsed {
-		s.void(w)
+		s.check.Lapsed(w.node)
 	}
 	for _, r := range w.sorted() {
 		switch {
@@ -401,7 +341,7 @@
 		case s.step(r.task).Gang && !s.gangComplete(r):
 			if s.now-r.since > simConfig.GangWait {
 				if !s.faults && s.now > s.calmFrom {
-					s.violation("GANG: %v run %d ended alone", r.task, r.run)
+					s.check.Violation(s.now, "GANG: %v run %d ended alone", r.task, r.run)
 				}
 				s.end(w, r, batch.EndAlone)
 			}
@@ -423,7 +363,7 @@
 	for n := range s.step(r.task).Count {
 		id := r.task
 		id.Index = n
-		found := s.done[id]
+		found := s.check.Done(id, s.now)
 		for _, w := range s.workers {
 			if m := w.runs[id]; m != nil && m.run == r.run {
 				found = true
@@ -442,37 +382,12 @@
 	w.number++
 	w.fenced[r.task] = max(w.fenced[r.task], r.run)
 	w.ended = append(w.ended, batch.EndedTask{Number: w.number, Task: r.task, Run: r.run, How: how})
-	switch how {
-	case batch.EndDone:
-		s.setDone(r.task)
-	case batch.EndFailed:
-		s.failed[r.task]++
-	}
-}
-
-// void takes back the ends that nobody has taken note of, as a lapsed lease or a crash does.
-func (s *sim) void(w *simWorker) {
-	w.void = w.number
-	for _, e := range w.ended {
-		if e.How != batch.EndDone {
-			continue
-		}
-		for _, m := range s.members(e.Task) {
-			if !s.noted[m] {
-				delete(s.done, m)
-			}
-		}
-	}
+	s.check.Ended(w.node, w.number, r.task, r.run, how, s.now)
 }
 
 func (s *sim) crash(w *simWorker) {
 	klog.InfoS("SIM crash", "at", s.now, "node", w.node)
-	s.void(w)
-	for _, e := range w.ended {
-		if e.How == batch.EndFailed {
-			s.failed[e.Task]--
-		}
-	}
+	s.check.Died(w.node)
 	w.up = false
 	w.runs = map[batch.TaskID]*simRun{}
 }
@@ -519,7 +434,7 @@
 
 // run moves the world on.
 func (s *sim) run(d time.Duration) {
-	for end := s.now + d; s.now < end && len(s.broken) == 0; s.now += simStep {
+	for end := s.now + d; s.now < end && len(s.check.Broken()) == 0; s.now += simStep {
 		for {
 			due := -1
 			for i, e := range s.events {
@@ -546,6 +461,7 @@
 func (s *sim) submit(j batch.Job) {
 	j.AcceptedAt = s.wall()
 	s.jobs[j.ID] = j
+	s.check.Submitted(j)
 	if s.core != nil {
 		if err := s.core.AddJob(j, nil, 0, s.now, s.wall()); err != nil {
 			s.t.Fatal(err)
@@ -558,6 +474,7 @@
 		return
 	}
 	s.cancelled[id] = s.now
+	s.check.Cancelled(id, s.now)
 	if s.core != nil {
 		s.core.Cancel(id, s.now, s.wall())
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -27,57 +27,68 @@
 	if r.rng.IntN(2) == 0 { // entries are few, and one of them leads
 		p = r.entries[r.rng.IntN(len(r.entries))]
 	}
+	w := r.workers[r.rng.IntN(len(r.workers))]
 	span := 200*time.Millisecond + time.Duration(r.rng.Float64()*4*float64(time.Second))
-	kind := r.rng.IntN(11)
-	r.note("fault %d on %s for %v", kind, p.settings.Node, span.Round(time.Millisecond))
+	m := []mode{delayed, silent, oneWay}[r.rng.IntN(3)]
 	later := func(do func()) { r.group.Go(func() { r.sleep(span); do() }) }
-	switch kind {
-	case 0, 1:
-		p.signal(syscall.SIGKILL)
-	case 2:
-		p.signal(syscall.SIGTERM)
-	case 3:
+	pause := func(p *process) {
 		p.signal(syscall.SIGSTOP)
 		later(func() { p.signal(syscall.SIGCONT) })
-	case 4:
-		p.signal(syscall.SIGHUP)
-	case 5:
-		p.store.reset()
-	case 6:
-		m := []mode{delayed, silent, oneWay}[r.rng.IntN(3)]
-		p.store.set(m)
-		later(func() { p.store.set(pass) })
-	case 7:
-		if p.app != nil {
-			m := []mode{delayed, silent, oneWay}[r.rng.IntN(3)]
-			p.app.set(m)
-			later(func() { p.app.set(pass) })
-		}
-	case 8:
-		r.mem.SetFaults(memstore.Faults{LoseAnswers: 0.3})
-		later(func() { r.mem.SetFaults(memstore.Faults{}) })
-	case 9:
-		r.mem.SetFaults([]memstore.Faults{{Down: true}, {Slow: 150 * time.Millisecond}}[r.rng.IntN(2)])
-		later(func() { r.mem.SetFaults(memstore.Faults{}) })
-	case 10:
-		r.workers[r.rng.IntN(len(r.workers))].Boot()
 	}
+	kinds := []struct {
+		name string
+		do   func()
+	}{
+		{"kill " + p.name, func() { p.signal(syscall.SIGKILL) }},
+		{"kill " + p.name, func() { p.signal(syscall.SIGKILL) }},
+		{"terminate " + p.name, func() { p.signal(syscall.SIGTERM) }},
+		{"suspend " + p.name, func() { pause(p) }},
+		{"reload " + p.name, func() { p.signal(syscall.SIGHUP) }},
+		{"reset store connections of " + p.name, p.store.reset},
+		{fmt.Sprint("store path ", m, " for ", p.name), func() {
+			p.store.set(m)
+			later(func() { p.store.set(pass) })
+		}},
+		{fmt.Sprint("worker path ", m, " for ", p.name), func() {
+			if p.app != nil {
+				p.app.set(m)
+				later(func() { p.app.set(pass) })
+			}
+		}},
+		{"store loses answers", func() {
+			r.storeFaults(memstore.Faults{LoseAnswers: 0.3})
+			later(func() { r.storeFaults(memstore.Faults{}) })
+		}},
+		{"store is down or slow", func() {
+			r.storeFaults([]memstore.Faults{{Down: true}, {Slow: 150 * time.Millisecond}}[r.rng.IntN(2)])
+			later(func() { r.storeFaults(memstore.Faults{}) })
+		}},
+		{"store forgets its history", func() { r.tellStore(pathCompact, struct{}{}) }},
+		{"suspend the store", func() { pause(r.store) }},
+		{"kill " + w.name, func() { w.signal(syscall.SIGKILL) }},
+		{"suspend " + w.name, func() { pause(w) }},
+	}
+	k := kinds[r.rng.IntN(len(kinds))]
+	r.note("%s for %v", k.name, span.Round(time.Millisecond))
+	k.do()
 }
 
 // heal ends all faults.
 func (r *run) heal() {
-	r.mem.SetFaults(memstore.Faults{})
+	for _, p := range append(append([]*process{r.store}, r.workers...), r.procs...) {
+		p.signal(syscall.SIGCONT)
+	}
 	for _, p := range r.procs {
 		p.store.set(pass)
 		if p.app != nil {
 			p.app.set(pass)
 		}
-		p.signal(syscall.SIGCONT)
 	}
+	r.storeFaults(memstore.Faults{})
 	r.note("faults end")
 }
 
 // note prints a line of the run's own story, for the time line of a failure.
 func (r *run) note(format string, args ...any) {
-	fmt.Printf("%6.2fs %s\n", time.Since(r.checker.began).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Printf("%8.3fs %s\n", r.record.since(time.Now()).Seconds(), fmt.Sprintf(format, args...))
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -6,48 +6,64 @@
 	"sync"
 	"time"
 
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/rulecheck"
 	"masticcart.example/masticcart/platform/standin"
 )
 
 // soakJob is a job as its caller sees it.
 type soakJob struct {
-	id       int
-	body     string
+	id   int
+	body string
+	spec batch.Job
+
 	mu       sync.Mutex
 	accepted bool
 	unclear  bool // some attempt got no answer, or one that leaves it open
-	gone     bool // cancelled
+	unsure   bool // a cancellation was not answered
 }
 
-func (j *soakJob) name() string { return fmt.Sprintf("%016x", j.id) }
-
 const (
-	// jobsPerSecond is the mean rate of submissions.
-	jobsPerSecond = 2.0
 	// attempts of a caller to hand a job in.
 	attempts = 4
-	// cancelShare of the jobs are cancelled.
+	// attemptPause follows an attempt without success.
+	attemptPause = 300 * time.Millisecond
+	// cancelShare of the jobs are cancelled, cancelAfter their acknowledgement.
 	cancelShare = 0.15
+	cancelAfter = 500 * time.Millisecond
+	// passingKeyShare of the submissions use the key that comes and goes.
+	passingKeyShare = 0.3
+	// longestTask is the longest work of a task beside those of fixed time, in milliseconds.
+	longestTask = 3000
+	// statePause is the pause between two questions for a state.
+	statePause = 100 * time.Millisecond
 )
 
+// newJob draws a job.
+func (r *run) newJob(id int) *soakJob {
+	name := fmt.Sprintf("%016x", id)
+	if r.rng.IntN(2) == 0 {
+		ms := 200 + r.rng.IntN(longestTask)
+		return &soakJob{id: id, body: standin.FourTasks(ms), spec: batch.Job{ID: name, Payload: fmt.Sprint(ms),
+			Steps: []batch.Step{{Count: 4}}}}
+	}
+	return &soakJob{id: id, body: standin.TwoSteps, spec: batch.Job{ID: name, Payload: "300",
+		Steps: []batch.Step{{Count: 3}, {Count: 2, Gang: true, After: []int{0}}}}}
+}
+
 // load hands jobs in while faults are played.
 func (r *run) load() {
-	seconds := r.options.For.Seconds()
-	for n := range int(seconds * jobsPerSecond) {
-		j := &soakJob{id: n + 1, body: standin.TwoSteps}
-		steps := []int{3, 2}
-		if r.rng.IntN(2) == 0 {
-			j.body, steps = standin.FourTasks(200+r.rng.IntN(3000)), []int{4}
-		}
-		r.checker.submitted(j.name(), steps)
+	for n := range int(r.options.For.Seconds() * r.options.Rate) {
+		j := r.newJob(n + 1)
+		r.record.add(time.Now(), func(c *rulecheck.Checker) { c.Submitted(j.spec) })
 		r.jobs = append(r.jobs, j)
 		at := time.Duration(r.rng.Float64() * float64(r.options.For))
-		entry, cancel := r.rng.IntN(len(r.entries)), r.rng.Float64() < cancelShare
+		entry, cancel, passing := r.rng.IntN(len(r.entries)), r.rng.Float64() < cancelShare, r.rng.Float64() < passingKeyShare
 		r.callers.Go(func() {
 			r.sleep(at)
-			r.submit(j, entry)
+			r.submit(j, entry, passing)
 			if cancel && r.ctx.Err() == nil {
-				r.sleep(500 * time.Millisecond)
+				r.sleep(cancelAfter)
 				r.cancel(j, entry)
 			}
 		})
@@ -59,23 +75,32 @@
 	return standin.NewClient(r.entries[n%len(r.entries)].settings.Front())
 }
 
-func (r *run) submit(j *soakJob, entry int) {
+// submit hands a job in, the first time with the passing key if the caller has no other.
+func (r *run) submit(j *soakJob, entry int, passing bool) {
 	for n := range attempts {
-		status, _ := r.client(entry+n).Call(r.ctx, http.MethodPost, j.id, j.body)
+		caller := r.client(entry + n)
+		if passing && n == 0 {
+			caller.Key = operatorKey
+		}
+		sent := time.Now()
+		status, _ := caller.Call(r.ctx, http.MethodPost, j.id, j.body)
 		j.mu.Lock()
 		switch status {
 		case http.StatusOK:
 			j.accepted = true
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized:
 		default:
 			j.unclear = true
 		}
 		accepted := j.accepted
 		j.mu.Unlock()
+		if accepted {
+			r.record.add(sent, func(c *rulecheck.Checker) { c.Accepted(j.spec.ID, caller.Key, r.record.since(sent)) })
+		}
 		if accepted || r.ctx.Err() != nil {
 			return
 		}
-		r.sleep(300 * time.Millisecond)
+		r.sleep(attemptPause)
 	}
 }
 
@@ -83,17 +108,15 @@
 	for n := range attempts {
 		status, _ := r.client(entry+n).Call(r.ctx, http.MethodDelete, j.id, "")
 		if status == http.StatusOK {
-			r.checker.cancelAcknowledged(j.name())
-			j.mu.Lock()
-			j.gone = true
-			j.mu.Unlock()
+			now := time.Now()
+			r.record.add(now, func(c *rulecheck.Checker) { c.Cancelled(j.spec.ID, r.record.since(now)) })
 			return
 		}
-		r.sleep(300 * time.Millisecond)
+		j.mu.Lock()
+		j.unsure = true
+		j.mu.Unlock()
+		r.sleep(attemptPause)
 	}
-	j.mu.Lock()
-	j.gone = true // perhaps
-	j.mu.Unlock()
 }
 
 // settle waits until everything that was accepted is over, and checks what callers were told.
@@ -101,30 +124,23 @@
 	deadline := time.Now().Add(recovery)
 	for _, j := range r.jobs {
 		j.mu.Lock()
-		accepted, unclear, gone := j.accepted, j.unclear, j.gone
+		accepted, unclear, unsure := j.accepted, j.unclear, j.unsure
 		j.mu.Unlock()
-		if !accepted {
-			if n := r.checker.startsOf(j.name()); n > 0 && !unclear {
-				r.report("REFUSED: %s was refused and started %d tasks", j.name(), n)
-			}
-			continue
-		}
-		state := ""
-		for time.Now().Before(deadline) && r.ctx.Err() == nil {
-			state = r.client(j.id).State(r.ctx, j.id)
-			if state == "completed" || state == "failed" || state == "cancelled" {
+		state := batch.State("")
+		for accepted && time.Now().Before(deadline) && r.ctx.Err() == nil {
+			if state = batch.State(r.client(j.id).State(r.ctx, j.id)); state.Final() {
 				break
 			}
-			r.sleep(100 * time.Millisecond)
-		}
-		if state != "completed" && (!gone || state != "cancelled") {
-			r.report("LOST: %s is %q after the recovery", j.name(), state)
+			r.sleep(statePause)
 		}
+		now := time.Now()
+		r.record.add(now, func(c *rulecheck.Checker) {
+			switch {
+			case accepted:
+				c.Settled(j.spec.ID, state, unsure, r.record.since(now))
+			case !unclear:
+				c.Refused(j.spec.ID, r.record.since(now))
+			}
+		})
 	}
 }
-
-func (r *run) report(format string, args ...any) {
-	r.checker.mu.Lock()
-	defer r.checker.mu.Unlock()
-	r.checker.violation(format, args...)
-}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -17,6 +17,9 @@
 	oneWay // requests pass, answers are held
 )
 
+// String names the mode in the story of a run.
+func (m mode) String() string { return [...]string{"open", "delayed", "silent", "one way"}[m] }
+
 // proxy forwards connections to an address and can harm them.
 type proxy struct {
 	listener net.Listener
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,22 +1,25 @@
+// Package soak runs entries and agents, and stand-ins of the platform's workers, store and operators, as separate
+// processes, injects faults from outside them, and checks the platform's rules from what callers and workers see.
 package soak
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"masticcart.example/masticcart/internal/kvstore/memstore"
+	"masticcart.example/masticcart/internal/rulecheck"
 	"masticcart.example/masticcart/internal/wait"
-	"masticcart.example/masticcart/platform"
 	"masticcart.example/masticcart/platform/standin"
 )
 
@@ -26,55 +29,42 @@
 	For     time.Duration // of faults; the recovery follows
 	Entries int
 	Workers int
-	Daemon  string // path of masticcartd
-	Dir     string // for settings and logs
+	Rate    float64 // of submissions, a second
+	Daemon  string  // path of masticcartd
+	Self    string  // path of the program that runs the stand-ins
+	Dir     string  // for settings and logs
 }
 
 const (
 	// recovery is the time in which everything accepted has to be over after the last fault.
 	recovery = 60 * time.Second
-	// maxHold is the bound of the settings file.
-	maxHold = 6 * time.Second
-	// announceEvery is the pace of the workers' announcements.
-	announceEvery = 300 * time.Millisecond
-	// restartPause is the time after which the platform starts a process that has ended.
-	restartPause = 300 * time.Millisecond
 	// portsEach is the number of ports of a process.
 	portsEach = 6
-	// portSlots and portSlot spread runs at the same time over the ports from 20000 on.
+	// portSlots and portSlot spread runs at the same time over the ports from firstPort on.
 	portSlots = 40
 	portSlot  = 200
+	firstPort = 20000
+	lastPort  = 32000
+	// workersEach is the number of workers in a rack.
+	workersEach = 3
+	// attemptLimit is that of standin.Configuration.
+	attemptLimit = 3
+	// revocation is revokeMs of the settings file.
+	revocation = 5 * time.Second
+	// lateStart is how long after the acknowledgement of a cancellation a task may still start: an order under way, and
+	// its lease.
+	lateStart = 9 * time.Second
 )
 
-// process is a program under test, restarted whenever it ends.
-type process struct {
-	settings standin.Process
-	file     string
-	log      *os.File
-	store    *proxy
-	app      *proxy
-
-	mu  sync.Mutex
-	cmd *exec.Cmd
-}
-
-// signal sends a signal to the process if it runs. Only processes that this run started are known here.
-func (p *process) signal(s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(s) // it may have ended already
-	}
-}
-
 // run is one soak.
 type run struct {
 	options Options
 	rng     *rand.Rand
-	mem     *memstore.Store
-	checker *checker
-	workers []*standin.Worker
-	procs   []*process
+	record  *recorder
+	store   *process
+	address string // of the store
+	workers []*process
+	procs   []*process // the programs under test
 	entries []*process
 	ctx     context.Context
 	group   sync.WaitGroup
@@ -85,92 +75,110 @@
 // Run plays a seed and returns the broken rules. Timing is real, so a seed repeats the faults, not each interleaving.
 func Run(ctx context.Context, o Options) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	r := &run{options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), mem: memstore.New(time.Now), checker: newChecker(), ctx: ctx}
+	r := &run{options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), ctx: ctx, record: newRecorder(rulecheck.Bounds{
+		MaxAttempts: attemptLimit, LateStart: lateStart, Revocation: revocation})}
 	defer r.group.Wait()
 	defer cancel()
 	if err := r.start(); err != nil {
 		return nil, err
 	}
+	r.group.Go(r.judge)
 	r.load()
 	r.faults()
 	r.heal()
 	r.callers.Wait()
 	r.settle()
-	return r.checker.Broken(), ctx.Err()
+	return r.record.broken(), ctx.Err()
+}
+
+// judge hands events to the checker while the run lasts.
+func (r *run) judge() {
+	for r.ctx.Err() == nil {
+		r.record.judge(false)
+		r.sleep(eventLag / 4)
+	}
 }
 
-// start brings the store, the workers and the processes up.
+// start brings the store, the operator, the workers and the programs under test up.
 func (r *run) start() error {
-	if _, err := r.mem.Put(r.ctx, platform.KeyConfiguration, []byte(standin.Configuration), 0, 0); err != nil {
+	port, err := freePorts(r.options.Seed, (r.options.Entries+r.options.Workers+1)*portsEach)
+	if err != nil {
 		return err
 	}
-	store, err := r.serve(standin.Store(r.mem))
-	if err != nil {
+	r.address = fmt.Sprintf("127.0.0.1:%d", port)
+	if r.store, err = r.standin("store", "store", "--listen", r.address); err != nil {
 		return err
 	}
-	port, err := freePorts(r.options.Seed, (r.options.Entries+r.options.Workers)*portsEach)
+	operator, err := r.standin("operator", "operator", "--store", r.address, "--seed", fmt.Sprint(r.options.Seed))
 	if err != nil {
 		return err
 	}
+	operator.told = func(events io.Reader) { r.record.read("", events) }
 	for n := range r.options.Workers {
-		w := &standin.Worker{ID: fmt.Sprint("i-", n), Service: "s", Rack: fmt.Sprint("r", n/3), GPUs: 4, MaxHold: maxHold,
-			Observer: r.checker}
-		w.Boot()
-		r.workers = append(r.workers, w)
-		address, err := r.serve(w.Handler())
-		if err != nil {
+		port += portsEach
+		if err := r.worker(n, port); err != nil {
 			return err
 		}
-		p, err := r.process(fmt.Sprint("side-", n), "side", port+n*portsEach, store, address)
-		if err != nil {
-			return err
-		}
-		r.group.Go(func() { w.Announce(r.ctx, p.settings.Control(), announceEvery) })
 	}
 	for n := range r.options.Entries {
-		p, err := r.process(fmt.Sprint("edge-", n), "edge", port+(r.options.Workers+n)*portsEach, store, "")
+		port += portsEach
+		p, err := r.daemon(fmt.Sprint("edge-", n), "edge", port)
 		if err != nil {
 			return err
 		}
 		r.entries = append(r.entries, p)
 	}
-	for _, p := range r.procs {
-		r.group.Go(func() { r.keep(p) })
+	for _, p := range append([]*process{r.store, operator}, append(r.workers, r.procs...)...) {
+		r.group.Go(func() { p.keep(r.ctx) })
 	}
 	return nil
 }
 
-// serve listens on loopback until the run ends.
-func (r *run) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// worker adds a worker and its agent.
+func (r *run) worker(n, port int) error {
+	name := fmt.Sprint("side-", n)
+	agent, err := r.daemon(name, "side", port)
 	if err != nil {
-		return "", err
+		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(l) }() // ends with Close
-	context.AfterFunc(r.ctx, func() { _ = server.Close() })
-	return l.Addr().String(), nil
+	id := fmt.Sprint("i-", n)
+	w, err := r.standin("worker-"+fmt.Sprint(n), "worker", "--id", id, "--rack", fmt.Sprint("r", n/workersEach),
+		"--listen", agent.settings.Worker(), "--control", agent.settings.Control())
+	if err != nil {
+		return err
+	}
+	w.told = func(events io.Reader) { r.record.read(id, events) }
+	w.dies = r.record.lifeEnds(id)
+	r.workers = append(r.workers, w)
+	return nil
+}
+
+// standin returns a process of the soak's own program.
+func (r *run) standin(name string, args ...string) (*process, error) {
+	log, err := os.Create(filepath.Join(r.options.Dir, name+".log"))
+	return &process{name: name, path: r.options.Self, args: args, log: log}, err
 }
 
-func (r *run) process(node, class string, port int, store, app string) (*process, error) {
-	p := &process{settings: standin.Process{Node: node, Class: class, Port: port}}
+// daemon returns a program under test, with proxies towards the store and its worker.
+func (r *run) daemon(node, class string, port int) (*process, error) {
+	p := &process{name: node, path: r.options.Daemon, args: []string{"platform"},
+		settings: standin.Process{Node: node, Class: class, Port: port}}
 	var err error
-	if p.store, err = newProxy(store); err != nil {
+	if p.store, err = r.proxy(r.address); err != nil {
 		return nil, err
 	}
 	p.settings.Store = p.store.address()
-	context.AfterFunc(r.ctx, p.store.close)
-	if app != "" {
-		if p.app, err = newProxy(app); err != nil {
+	if class == "side" {
+		if p.app, err = r.proxy(p.settings.Worker()); err != nil {
 			return nil, err
 		}
 		p.settings.App = p.app.address()
-		context.AfterFunc(r.ctx, p.app.close)
 	}
-	p.file = filepath.Join(r.options.Dir, node+".toml")
-	if err := os.WriteFile(p.file, []byte(p.settings.TOML()), 0o600); err != nil {
+	file := filepath.Join(r.options.Dir, node+".toml")
+	if err := os.WriteFile(file, []byte(p.settings.TOML()), 0o600); err != nil {
 		return nil, err
 	}
+	p.env = []string{standin.Variable + "=" + file}
 	if p.log, err = os.Create(filepath.Join(r.options.Dir, node+".log")); err != nil {
 		return nil, err
 	}
@@ -178,37 +186,43 @@
 	return p, nil
 }
 
-// keep runs a process again and again until the run ends. It leaves none behind.
-func (r *run) keep(p *process) {
-	defer p.log.Close()
-	for r.ctx.Err() == nil {
-		cmd := exec.Command(r.options.Daemon, "platform")
-		cmd.Env = []string{standin.Variable + "=" + p.file}
-		cmd.Stdout, cmd.Stderr = p.log, p.log
-		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-		p.mu.Lock()
-		if err := cmd.Start(); err != nil {
-			p.mu.Unlock()
-			fmt.Fprintln(os.Stderr, "soak: start:", err)
-			return
+func (r *run) proxy(target string) (*proxy, error) {
+	p, err := newProxy(target)
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(r.ctx, p.close)
+	return p, nil
+}
+
+// tellStore sets faults of the store, or lets it forget its history.
+func (r *run) tellStore(path string, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		r.note("store not told: %v", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address+path, bytes.NewReader(data))
+	if err == nil {
+		var res *http.Response
+		if res, err = http.DefaultClient.Do(q); err == nil {
+			err = res.Body.Close()
 		}
-		p.cmd = cmd
-		p.mu.Unlock()
-		stop := context.AfterFunc(r.ctx, func() { p.signal(syscall.SIGKILL) })
-		_ = cmd.Wait() // it may be killed
-		stop()
-		p.mu.Lock()
-		p.cmd = nil
-		p.mu.Unlock()
-		r.sleep(restartPause)
+	}
+	if err != nil && r.ctx.Err() == nil {
+		r.note("store not told %s %s: %v", path, data, err) // it may be suspended
 	}
 }
 
+func (r *run) storeFaults(f memstore.Faults) { r.tellStore(pathFaults, f) }
+
 func (r *run) sleep(d time.Duration) { wait.For(r.ctx, d) }
 
 // freePorts returns the first of n ports in a row that are free now. Runs of different seeds look in different places.
 func freePorts(seed uint64, n int) (int, error) {
-	for first := 20000 + int(seed%portSlots)*portSlot; first+n < 32000; first += n {
+	for first := firstPort + int(seed%portSlots)*portSlot; first+n < lastPort; first += n {
 		free := true
 		for port := first; free && port < first+n; port++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
--- /dev/null
+++ b/internal/soak/standins.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/kvstore/memstore"
+	"masticcart.example/masticcart/internal/wait"
+	"masticcart.example/masticcart/platform"
+	"masticcart.example/masticcart/platform/standin"
+)
+
+const (
+	// maxHold is the bound of the settings file.
+	maxHold = 6 * time.Second
+	// announceEvery is the pace of the workers' announcements.
+	announceEvery = 300 * time.Millisecond
+	// workerAccelerators is what a worker has.
+	workerAccelerators = 4
+	// changePause is the mean time between two changes of the configuration.
+	changePause = 1500 * time.Millisecond
+	// operatorKey comes and goes with the changes.
+	operatorKey = "key-of-a-day"
+	// operatorRetry is the pause between two tries of a change.
+	operatorRetry = 200 * time.Millisecond
+
+	pathFaults  = "/faults"
+	pathCompact = "/compact"
+)
+
+// Worker runs one worker until ctx ends and writes what happens on it to standard output.
+func Worker(ctx context.Context, id, rack, listen, control string) error {
+	w := &standin.Worker{ID: id, Service: "s", Rack: rack, GPUs: workerAccelerators, MaxHold: maxHold, Observer: workerEvents{}}
+	w.Boot()
+	go w.Run(ctx)
+	go w.Announce(ctx, control, announceEvery)
+	return listenAndServe(ctx, listen, w.Handler())
+}
+
+// workerEvents writes what happens on a worker.
+type workerEvents struct{}
+
+var _ standin.Observer = workerEvents{}
+
+func (workerEvents) Extended(until time.Time) {
+	emit(event{Kind: eventExtended, Until: until.UnixMicro()})
+}
+func (workerEvents) Started(task string, run int, payload string) {
+	emit(event{Kind: eventStarted, Task: task, Run: run, Payload: payload})
+}
+func (workerEvents) Ended(number int64, task string, run int, how string) {
+	emit(event{Kind: eventEnded, Number: number, Task: task, Run: run, How: batch.How(how)})
+}
+func (workerEvents) Noted(upTo int64) { emit(event{Kind: eventNoted, Number: upTo}) }
+func (workerEvents) Lapsed()          { emit(event{Kind: eventLapsed}) }
+
+// Store serves the platform's store until ctx ends. Its faults are set by requests.
+func Store(ctx context.Context, listen string) error {
+	mem := memstore.New(time.Now)
+	m := http.NewServeMux()
+	m.Handle("/", standin.Store(mem))
+	m.HandleFunc("POST "+pathFaults, func(w http.ResponseWriter, q *http.Request) {
+		var f memstore.Faults
+		if err := json.NewDecoder(q.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		mem.SetFaults(f)
+	})
+	m.HandleFunc("POST "+pathCompact, func(http.ResponseWriter, *http.Request) { mem.Compact() })
+	return listenAndServe(ctx, listen, m)
+}
+
+// Operator writes configurations to the store until ctx ends. Each lets a key come or go, or changes a latency target.
+func Operator(ctx context.Context, store string, seed uint64) error {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	s := platform.NewStore(store)
+	present := false
+	for version := int64(1); ctx.Err() == nil; version += 1 + rng.Int64N(3) {
+		before := present
+		if version > 1 && rng.IntN(2) == 0 {
+			present = !present
+		}
+		if present && !before {
+			emit(event{Kind: eventKeyAdded, Key: operatorKey})
+		}
+		var keys []string
+		if present {
+			keys = append(keys, operatorKey)
+		}
+		value := []byte(standin.ConfigurationOf(version, 500+rng.IntN(1000), keys...))
+		for ctx.Err() == nil { // writing the same version again does no harm
+			if _, err := s.Txn(ctx, kvstore.Txn{Puts: []kvstore.Write{{Key: platform.KeyConfiguration, Value: value}}}); err == nil {
+				break
+			}
+			wait.For(ctx, operatorRetry)
+		}
+		if before && !present {
+			emit(event{Kind: eventKeyRemoved, Key: operatorKey})
+		}
+		wait.For(ctx, time.Duration(rng.Float64()*2*float64(changePause)))
+	}
+	return nil
+}
+
+// listenAndServe serves until ctx ends.
+func listenAndServe(ctx context.Context, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(l); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
