--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -21,13 +21,7 @@
 
 // plan places waiting tasks: the most urgent first, others into the room that those cannot use.
 func (c *Core) plan(now time.Duration) {
-	free := map[string]batch.Resources{}
-	for _, w := range c.fleet {
-		if w.usable(now) {
-			free[w.node] = w.info.Capacity.Minus(w.used())
-		}
-	}
-	p := &planner{core: c, now: now, free: free, reserved: map[string]time.Duration{}}
+	p := c.newPlanner(now)
 	p.spareRoom = c.urgent.headroom()
 	c.dropClaims(now)
 	for _, cl := range c.claims {
@@ -38,12 +32,29 @@
 	}
 }
 
+// newPlanner returns a pass over the workers as they are.
+func (c *Core) newPlanner(now time.Duration) *planner {
+	p := &planner{core: c, now: now, free: map[string]batch.Resources{}, rooms: map[string]*room{},
+		reserved: map[string]time.Duration{}, full: map[shape]time.Duration{}, near: map[shape]bool{}}
+	for _, w := range c.fleet {
+		if w.usable(now) {
+			p.add(w)
+		}
+	}
+	return p
+}
+
 // planner is one pass over the units.
 type planner struct {
 	core     *Core
 	now      time.Duration
 	free     map[string]batch.Resources
+	rooms    map[string]*room         // by service
 	reserved map[string]time.Duration // from when a worker's room is kept for a more urgent unit
+	// full holds the shapes that do not fit any more, with the least duration for which that was found: room only shrinks
+	// during a plan.
+	full     map[shape]time.Duration
+	near     map[shape]bool // whether a shape could be held near its data, or in one rack, by empty workers
 	kept     int
 	releases []release // nil until they are asked for
 	// spareRoom is the number of accelerators that less urgent units leave free while they can wait.
@@ -134,59 +145,20 @@
 	if p.mustLeaveRoom(u, n) {
 		return nil
 	}
-	return p.chooseFrom(u, n, p.candidates(u, p.free, true))
-}
-
-const (
-	// idlePatience is how long a job without a running task may be held back while the fleet is mostly idle. The
-	// platform's rules allow three seconds; the start itself takes part of the last one.
-	idlePatience = 2 * time.Second
-	// idleShare is the share of a resource in use below which the fleet counts as mostly idle.
-	idleShare = 0.5
-	// idleCopies is how many times over the unit has to fit.
-	idleCopies = 2
-)
-
-// mustStart reports whether the job has nothing running, has waited for long enough, and the fleet is mostly idle. Room
-// that is kept for other units, and for data, is no reason then to leave workers unused.
-func (p *planner) mustStart(u unit, n int) bool {
-	j := u.step.job()
-	if j.idleSince == never || p.now-j.idleSince < idlePatience || !j.idle() {
-		return false
-	}
-	var free, capacity batch.Resources
-	for node, r := range p.free {
-		if w := p.core.workers[node]; w.info.Service == u.queue.Service {
-			free, capacity = free.Plus(r), capacity.Plus(w.info.Capacity)
-		}
-	}
-	if !free.AnyShareAbove(1-idleShare, capacity) {
-		return false
-	}
-	return pack(p.candidates(u, p.free, false), u.step.spec.Reserved(), idleCopies*n) != nil
-}
-
-// mustLeaveRoom reports whether a unit that can wait would take the accelerators that urgent jobs will need soon.
-func (p *planner) mustLeaveRoom(u unit, n int) bool {
-	if u.queue.Priority == 0 || p.spareRoom == 0 {
-		return false
-	}
-	slack := u.latest - p.now
-	if waited := u.step.occurrence.waited(p.now); slack < time.Duration(float64(slack+waited)*headroomSlack) {
-		return false
+	sh, alike := shapeOf(u, n)
+	sh.far = p.mayGoFar(u, n)
+	took := p.core.expected(u.step)
+	least, full := p.full[sh]
+	if alike && full && took >= least && p.core.claims[u.step] == nil {
+		return nil
 	}
-	room := 0
-	for node, r := range p.free {
-		if p.core.workers[node].info.Service == u.queue.Service {
-			room += max(r.Accelerators, 0)
-		}
+	nodes := p.chooseFrom(u, n, p.candidates(u, p.free, true))
+	if nodes == nil && alike && (!full || took < least) {
+		p.full[sh] = took
 	}
-	return float64(room-n*u.step.spec.Need.Accelerators) < p.spareRoom
+	return nodes
 }
 
-// headroomSlack is the part of its slack that a unit must have left to leave room to more urgent ones.
-const headroomSlack = 0.6
-
 func (p *planner) chooseFrom(u unit, n int, cs []candidate) []string {
 	s := u.step.spec
 	need := s.Reserved()
@@ -225,6 +197,10 @@
 
 // holdable reports whether the workers near the data, or those of some rack, could hold the unit if they were empty.
 func (p *planner) holdable(u unit, n int) bool {
+	sh, alike := shapeOf(u, n)
+	if holds, known := p.near[sh]; alike && known {
+		return holds
+	}
 	s := u.step.spec
 	empty := map[string]batch.Resources{}
 	for _, w := range p.core.fleet {
@@ -233,10 +209,16 @@
 		}
 	}
 	cs := p.candidates(u, empty, false)
+	holds := false
 	if s.Gang && s.OneRack {
-		return packInRack(cs, s.Reserved(), n) != nil
+		holds = packInRack(cs, s.Reserved(), n) != nil
+	} else {
+		holds = pack(cs, s.Reserved(), n) != nil
+	}
+	if alike {
+		p.near[sh] = holds
 	}
-	return pack(cs, s.Reserved(), n) != nil
+	return holds
 }
 
 // assign gives tasks to workers. The orders follow the record.
@@ -264,7 +246,7 @@
 		t.ordered, t.doubtful = false, false
 		t.confirmed, t.missing, t.stopAt, t.stopSettled, t.percent = false, 0, 0, 0, 0
 		w.tasks[t] = struct{}{}
-		p.free[w.node] = p.free[w.node].Minus(s.spec.Reserved())
+		p.take(w.node, s.spec.Reserved(), 1)
 		if s.spec.Gang {
 			t.checkpoint = checkpoint
 		}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -59,18 +59,14 @@
 // keepClaim takes the room of a claim from what others may use.
 func (p *planner) keepClaim(cl *claim) {
 	for _, node := range cl.nodes {
-		if room, ok := p.free[node]; ok {
-			p.free[node] = room.Minus(cl.need)
-		}
+		p.take(node, cl.need, 1)
 	}
 }
 
 // giveBack lets the owner of a claim use its room.
 func (p *planner) giveBack(cl *claim) {
 	for _, node := range cl.nodes {
-		if room, ok := p.free[node]; ok {
-			p.free[node] = room.Plus(cl.need)
-		}
+		p.take(node, cl.need, -1)
 	}
 }
 
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"testing"
@@ -654,3 +655,44 @@
 	}
 	return runs
 }
+
+// A plan remembers which shapes do not fit any more. It must come to the same assignments as one that looks each unit up.
+func TestPlanSkipsOnlyWhatDoesNotFit(t *testing.T) {
+	for seed := range uint64(300) {
+		cells := [2]*fixture{}
+		for i := range cells {
+			rng := rand.New(rand.NewPCG(seed, 9))
+			f := newFixture(t, "a", "b", "c", "d", "e", "f")
+			for round := range 3 { // later rounds meet occupied workers and claims
+				now := time.Duration(round) * 100 * time.Millisecond
+				for n := range 12 {
+					f.submit(fmt.Sprintf("%08x%08x", round, n), rng.IntN(3), now, batch.Step{Count: 1 + rng.IntN(4),
+						Gang: rng.IntN(2) == 0, OneRack: rng.IntN(3) == 0, MaxPerWorker: rng.IntN(3),
+						Estimate: time.Duration(1+rng.IntN(20)) * time.Second,
+						Need:     batch.Resources{Accelerators: 4 << rng.IntN(2)}})
+				}
+				if i == 0 {
+					f.c.plan(now)
+					continue
+				}
+				f.c.dropClaims(now)
+				p := f.c.newPlanner(now)
+				p.spareRoom = f.c.urgent.headroom()
+				for _, cl := range f.c.claims {
+					p.keepClaim(cl)
+				}
+				for _, u := range f.c.units(now) {
+					clear(p.full)
+					clear(p.near)
+					p.place(u)
+				}
+			}
+			cells[i] = f
+		}
+		for id, j := range cells[0].c.jobs {
+			if got, want := describe(j), describe(cells[1].c.jobs[id]); got != want {
+				t.Fatalf("seed %d: %s, without the memory %s", seed, got, want)
+			}
+		}
+	}
+}
