--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,12 @@
 soak:
 	$(GO) build -o $(BIN)/ ./cmd/masticcartd ./cmd/masticcart-soak
 	$(BIN)/masticcart-soak --seed $(SOAK_SEED) --for $(SOAK_FOR) --daemon $(BIN)/masticcartd
+
+.PHONY: soak-seeds soak-mutants
+soak-seeds:
+	$(GO) build -o $(BIN)/ ./cmd/masticcartd ./cmd/masticcart-soak
+	SOAK_FOR=$(or $(SOAK_SPAN),12s) scripts/soak-seeds
+
+# Each patch of tests/mutants/soak breaks one promise; some of ten seeds of the soak must find it.
+soak-mutants:
+	scripts/soak-mutants
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -696,3 +696,27 @@
 		}
 	}
 }
+
+// Reports are most of what a leader receives. Workers without tasks, or with long ones, report less often; those whose
+// orders or ends are open do not.
+func TestWorkersReportAsOftenAsTheirTasksNeed(t *testing.T) {
+	f := newFixture(t, "a", "b", "c", "d")
+	f.submit("0000000000000001", 1, 0, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+	f.submit("0000000000000002", 1, 0, batch.Step{Count: 1, Estimate: time.Hour, Need: batch.Resources{Accelerators: 8}})
+	f.submit("0000000000000003", 1, 0, batch.Step{Count: 1, Estimate: time.Hour, Need: batch.Resources{Accelerators: 8}})
+	f.settle(0)
+	on := func(id string) string { return f.c.jobs[id].find(batch.TaskID{Job: id}).node }
+	f.c.Cancel("0000000000000003", 0, f.wall)
+	for node, want := range map[string]time.Duration{on("0000000000000001"): reportPause, on("0000000000000002"): reportPauseMax,
+		on("0000000000000003"): reportPause, "d": reportPauseMax} {
+		if got := f.c.ReportPause(node); got != want {
+			t.Errorf("%s reports after %v, want %v", node, got, want)
+		}
+	}
+	task := batch.TaskID{Job: "0000000000000002"}
+	node := on(task.Job)
+	f.end(task, 1, time.Second, batch.EndDone)
+	if got := f.c.ReportPause(node); got != reportPause {
+		t.Errorf("with an end that it was not told to forget a worker reports after %v", got)
+	}
+}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -22,8 +22,6 @@
 	// redialPause follows a failed connection; it doubles up to redialPauseMax.
 	redialPause    = 100 * time.Millisecond
 	redialPauseMax = time.Second
-	// syncWait is how long an agent waits for an end before it answers. Leases are extended as often.
-	syncWait = 400 * time.Millisecond
 	// syncSlack is what the answer may take beyond the wait before the connection is taken as dead.
 	syncSlack = 1200 * time.Millisecond
 	// orderTimeout bounds one order, between regions included.
@@ -175,7 +173,7 @@
 	request := relay.SyncRequest{Term: t.term.Number, Fence: t.fence(s.node), Life: life, Sequence: sequence, Forget: forget}
 	if t.term.Held() {
 		if until, ok := t.core.Grant(s.node, life); ok {
-			request.LeaseUntilMS, request.WaitMS = until, syncWait.Milliseconds()
+			request.LeaseUntilMS, request.WaitMS = until, t.core.ReportPause(s.node).Milliseconds()
 		}
 	}
 	t.mu.Unlock()
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -124,6 +124,32 @@
 	return batch.Life{}, 0, 0
 }
 
+const (
+	// reportPause is how long an agent waits for an end before it reports what runs. Leases are extended as often.
+	reportPause = 400 * time.Millisecond
+	// reportPauseMax is that of a worker without tasks, or with long ones only. It is below freshFor by more than an answer
+	// takes, and leaves several tries within a lease.
+	reportPauseMax = 1500 * time.Millisecond
+	// reportShare is the pause as a share of the shortest expected duration of the tasks on the worker.
+	reportShare = 0.05
+)
+
+// ReportPause returns how long an agent may wait for an end before it reports.
+func (c *Core) ReportPause(node string) time.Duration {
+	w := c.workers[node]
+	if w == nil || w.seenEnd > w.told {
+		return reportPause
+	}
+	pause := reportPauseMax
+	for t := range w.tasks {
+		if t.phase != assigned || !t.confirmed {
+			return reportPause
+		}
+		pause = min(pause, time.Duration(float64(c.expected(t.step))*reportShare))
+	}
+	return max(pause, reportPause)
+}
+
 // Report takes the answer of an agent.
 func (c *Core) Report(r Report, wall time.Time) {
 	w := c.worker(r.Node, r.Heard)
