Urgent work beyond its guarantee waits half a second for room before it stops other work

Change: work beyond its team's guarantee waits from its acceptance on for tasks that are about to end, up to 0.5 s; within the guarantee the wait stays 0.15 s. The wait does not start anew with each plan, since overdue tasks always seem to end soon.

--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -18,7 +18,7 @@
 		return
 	}
 	if u.queue.Priority == 0 {
-		if _, nodes := p.forecast(u, n, p.now+preemptPatience); nodes != nil {
+		if _, nodes := p.forecast(u, n, p.now+p.patience(u)); nodes != nil {
 			return
 		}
 		if more := p.preempt(u, n); more != nil {
@@ -38,10 +38,22 @@
 	// preemptPatience is the wait for room that becomes free by itself: about the time that stopping takes. Longer
 	// waits would have to trust estimates, and work that starts too late costs more than work that starts again.
 	preemptPatience = 150 * time.Millisecond
+	// borrowPatience is the same for work beyond its team's guarantee, from its acceptance on. It has no bound to meet, and
+	// what it stops is lost.
+	borrowPatience = 500 * time.Millisecond
 	// forever is later than any task ends.
 	forever = time.Duration(math.MaxInt64)
 )
 
+// patience returns how long a unit of the first priority waits for room before it stops other work. It does not start anew
+// with each plan, since tasks that take longer than expected always seem to end soon.
+func (p *planner) patience(u unit) time.Duration {
+	if u.sure {
+		return preemptPatience
+	}
+	return max(preemptPatience, borrowPatience-u.step.occurrence.waited(p.now))
+}
+
 // release is room that becomes free when a task ends.
 type release struct {
 	at   time.Duration
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -67,6 +67,11 @@
 		{"suspend the store", func() { pause(r.store) }},
 		{"kill " + w.name, func() { w.signal(syscall.SIGKILL) }},
 		{"suspend " + w.name, func() { pause(w) }},
+		{"cut off and kill " + w.name, func() {
+			w.agent.app.set(silent)
+			r.group.Go(func() { r.sleep(span / 2); w.signal(syscall.SIGKILL) })
+			later(func() { w.agent.app.set(pass) })
+		}},
 	}
 	k := kinds[r.rng.IntN(len(kinds))]
 	r.note("%s for %v", k.name, span.Round(time.Millisecond))
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -34,6 +34,8 @@
 	store    *proxy // between the process and the store
 	app      *proxy // between an agent and its worker; nil for an entry
 
+	agent *process // of a worker
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -106,19 +106,12 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		for held := true; held; {
-			switch m := mode(p.mode.Load()); {
-			case m == silent, m == oneWay && answers:
-				time.Sleep(20 * time.Millisecond)
-			case m == delayed:
-				time.Sleep(proxyDelay)
-				held = false
-			default:
-				held = false
-			}
-		}
+		held := p.hold(answers)
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
+				if held && !answers {
+					p.deliverLate(buf[:n])
+				}
 				return
 			}
 		}
@@ -127,3 +120,38 @@
 		}
 	}
 }
+
+// hold keeps a chunk back as the mode says, and reports whether it was held for long.
+func (p *proxy) hold(answers bool) bool {
+	held := false
+	for {
+		switch m := mode(p.mode.Load()); {
+		case m == silent, m == oneWay && answers:
+			time.Sleep(holdPause)
+			held = true
+		case m == delayed:
+			time.Sleep(proxyDelay)
+			return held
+		default:
+			return held
+		}
+	}
+}
+
+// holdPause is the pace at which a held chunk looks for the end of its mode.
+const holdPause = 20 * time.Millisecond
+
+// deliverLate sends a request whose receiver has gone meanwhile to whoever listens there now: orders may be carried out
+// late, by a later life of a worker. Its answer is lost.
+func (p *proxy) deliverLate(request []byte) {
+	c, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if _, err := c.Write(request); err != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(proxyDelay))
+	_, _ = c.Read(make([]byte, 1)) // so that the request is read before the connection ends
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -149,6 +149,7 @@
 	}
 	w.told = func(events io.Reader) { r.record.read(id, events) }
 	w.dies = r.record.lifeEnds(id)
+	w.agent = agent
 	r.workers = append(r.workers, w)
 	return nil
 }
