The last attempt of a task is made on another worker

Change: tasks with one attempt left are placed on workers on which they have not failed, as long as one that could hold them is there; else they wait or stop less important work. Test: TestLastAttemptIsMadeElsewhere, fails before.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -100,9 +100,13 @@
 	s := u.step
 	need := s.spec.Reserved()
 	end := p.now + p.core.expected(s)
+	elsewhere := u.last && p.otherWorkers(u)
 	var cs []candidate
 	for _, w := range p.core.fleet {
 		room, ok := free[w.node]
+		if elsewhere && u.avoid[w.node] {
+			continue // the worker may be at fault, and the job would be lost
+		}
 		if !ok || w.info.Service != u.queue.Service || !w.info.HasLabel(s.spec.RequiredLabel) {
 			continue
 		}
@@ -122,6 +126,15 @@
 	return cs
 }
 
+// otherWorkers reports whether a worker on which no task of the unit has failed could hold one.
+func (p *planner) otherWorkers(u unit) bool {
+	need := u.step.spec.Reserved()
+	return slices.ContainsFunc(p.core.fleet, func(w *worker) bool {
+		return w.info != nil && !w.left && !w.info.Leaving && !u.avoid[w.node] && w.info.Service == u.queue.Service &&
+			w.info.HasLabel(u.step.spec.RequiredLabel) && need.Fits(w.info.Capacity)
+	})
+}
+
 // on returns how many tasks of the step occupy a worker.
 func (s *stepRun) on(node string) int {
 	n := 0
@@ -136,6 +149,7 @@
 // choose returns workers for n tasks of the unit with what is free now, or nil.
 func (p *planner) choose(u unit, n int) []string {
 	if p.mustStart(u, n) {
+		u.last = false
 		cs := p.candidates(u, p.free, false)
 		if nodes := p.chooseFrom(u, n, cs); nodes != nil {
 			return nodes
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -293,3 +293,35 @@
 		t.Errorf("stopped at %v, want until %v", stopped, late)
 	}
 }
+
+// The last attempt of a task must not be spent on a worker on which it has failed, even if only that one has room (incident
+// inc-a4f4: both attempts of an urgent task went to the one worker that failed all, and the job was lost).
+func TestLastAttemptIsMadeElsewhere(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	eight := batch.Step{Count: 1, Estimate: time.Minute, Need: batch.Resources{Accelerators: 8}}
+	f.submit("0000000000000001", 2, 0, eight)
+	f.settle(0)
+	busy := f.c.jobs["0000000000000001"].find(batch.TaskID{Job: "0000000000000001"}).node
+	f.submit("0000000000000002", 0, 0, eight)
+	id := batch.TaskID{Job: "0000000000000002"}
+	task := f.c.jobs[id.Job].find(id)
+	for at := time.Duration(0); at < time.Second; at += 100 * time.Millisecond {
+		for _, o := range f.settle(at) {
+			if task.fails == simQueue(0).MaxAttempts-1 && o.Kind == OrderStart && o.Node != busy {
+				t.Fatalf("the last attempt starts on %s, where the others failed", o.Node)
+			}
+		}
+		if task.phase == assigned {
+			f.end(id, int64(task.fails+1), at, batch.EndFailed)
+		}
+	}
+	if task.fails != simQueue(0).MaxAttempts-1 {
+		t.Fatalf("%d attempts failed", task.fails)
+	}
+	if task.phase != waiting || f.c.jobs[id.Job].state.Final() {
+		t.Errorf("phase %d, state %s, want to wait for the other worker", task.phase, f.c.jobs[id.Job].state)
+	}
+	if len(f.c.claims) != 1 {
+		t.Errorf("%d claims, want room to be freed on %s", len(f.c.claims), busy)
+	}
+}
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -37,9 +37,9 @@
 	gang, oneRack, far       bool
 }
 
-// shapeOf returns the shape of n tasks of a unit. ok is false if other tasks of its step matter as well.
+// shapeOf returns the shape of n tasks of a unit. ok is false if more than the shape decides where it fits.
 func shapeOf(u unit, n int) (sh shape, ok bool) {
 	s := u.step.spec
 	return shape{service: u.queue.Service, label: s.RequiredLabel, dataRack: s.DataRack, need: s.Reserved(), tasks: n,
-		gang: s.Gang, oneRack: s.OneRack}, s.MaxPerWorker == 0
+		gang: s.Gang, oneRack: s.OneRack}, s.MaxPerWorker == 0 && !u.last
 }
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -16,6 +16,7 @@
 	latest time.Duration   // start by then to meet the latency objective
 	sure   bool            // within the guarantee of its team, so that it has to start in time
 	avoid  map[string]bool // workers on which a task of the unit failed; nil if none
+	last   bool            // one more failure ends the job
 }
 
 // units returns what can be placed, in the order of urgency.
@@ -65,26 +66,48 @@
 }
 
 func (c *Core) appendUnit(us []unit, s *stepRun, now time.Duration) []unit {
-	u := unit{step: s, queue: c.queue(s.job())}
+	var fresh, last []*task
+	q := c.queue(s.job())
 	for _, t := range s.tasks {
-		if t.phase == waiting && t.retryAt <= now {
-			u.tasks = append(u.tasks, t)
+		switch {
+		case t.phase != waiting || t.retryAt > now:
+		case !s.spec.Gang && lastAttempt(q, t.fails):
+			last = append(last, t)
+		default:
+			fresh = append(fresh, t)
 		}
 	}
-	if len(u.tasks) == 0 || s.spec.Gang && len(u.tasks) < s.spec.Count {
+	if s.spec.Gang && len(fresh) < s.spec.Count {
 		return us
 	}
-	for _, t := range u.tasks {
+	u := unit{step: s, queue: q, latest: c.deadline(s, now) - c.chain(s), sure: q.Priority == 0 && c.guaranteed(s.job())}
+	for _, tasks := range [][]*task{last, fresh} {
+		if len(tasks) > 0 {
+			u.tasks, u.avoid = tasks, failedOn(tasks)
+			u.last = s.spec.Gang && lastAttempt(q, s.gangFails) || len(last) > 0 && tasks[0] == last[0]
+			us = append(us, u)
+		}
+	}
+	return us
+}
+
+// lastAttempt reports whether one more failure uses the attempts up.
+func lastAttempt(q *batch.Queue, fails int) bool {
+	return q.MaxAttempts > 0 && fails > 0 && fails+1 >= q.MaxAttempts
+}
+
+// failedOn returns the workers on which tasks have failed, nil if none.
+func failedOn(tasks []*task) map[string]bool {
+	var avoid map[string]bool
+	for _, t := range tasks {
 		for node := range t.failedOn {
-			if u.avoid == nil {
-				u.avoid = map[string]bool{}
+			if avoid == nil {
+				avoid = map[string]bool{}
 			}
-			u.avoid[node] = true
+			avoid[node] = true
 		}
 	}
-	u.latest = c.deadline(s, now) - c.chain(s)
-	u.sure = u.queue.Priority == 0 && c.guaranteed(s.job())
-	return append(us, u)
+	return avoid
 }
 
 // deadline returns when an occurrence has to be done to meet the objective of its job.
