--- a/internal/processtest/api_test.go
+++ b/internal/processtest/api_test.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		d.Fatal(err)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }() // the server may have closed it
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
 		api.PathJobs, tokenOf(teamA), size)
 	if _, err := conn.Write(append([]byte(head), make([]byte, size)...)); err != nil {
--- a/internal/rulecheck/checker_test.go
+++ b/internal/rulecheck/checker_test.go
@@ -22,23 +22,23 @@
 			start(c, "w", a, 1, 0)
 			start(c, "v", a, 2, 11)
 		}},
-		"after a listed end": {"TWICE", func(c *Checker) { start(c, "w", a, 1, 0); done(c, "w", a, 1); start(c, "v", a, 2, 2) }},
+		"after a listed end": {"TWICE", func(c *Checker) { start(c, "w", a, 1, 0); done(c, a); start(c, "v", a, 2, 2) }},
 		"after a noted end": {"TWICE", func(c *Checker) {
 			start(c, "w", a, 1, 0)
-			done(c, "w", a, 1)
+			done(c, a)
 			c.Noted("w", 1)
 			c.Died("w")
 			start(c, "v", a, 2, 20)
 		}},
 		"after an end that was lost": {"", func(c *Checker) {
 			start(c, "w", a, 1, 0)
-			done(c, "w", a, 1)
+			done(c, a)
 			c.Died("w")
 			start(c, "v", a, 2, 2)
 		}},
 		"after an end that lapsed": {"", func(c *Checker) {
 			start(c, "w", a, 1, 0)
-			done(c, "w", a, 1)
+			done(c, a)
 			c.Lapsed("w")
 			c.Noted("w", 1)
 			start(c, "v", a, 2, 12)
@@ -52,7 +52,7 @@
 			c.Ended("w", 1, a, 1, batch.EndFailed, time.Second)
 			start(c, "w", a, 2, 2)
 		}},
-		"partial gang":            {"GANG", func(c *Checker) { start(c, "w", gang, 1, 0); done(c, "w", gang, 1) }},
+		"partial gang":            {"GANG", func(c *Checker) { start(c, "w", gang, 1, 0); done(c, gang) }},
 		"refused":                 {"REFUSED", func(c *Checker) { start(c, "w", a, 1, 0); c.Refused("j", 1) }},
 		"lost":                    {"LOST", func(c *Checker) { c.Settled("j", batch.Running, false, 1) }},
 		"not cancelled by anyone": {"LOST", func(c *Checker) { c.Settled("j", batch.Cancelled, false, 1) }},
@@ -88,6 +88,7 @@
 	c.Started(worker, task, run, "p", at)
 }
 
-func done(c *Checker, worker string, task batch.TaskID, run int) {
-	c.Ended(worker, 1, task, run, batch.EndDone, time.Second)
+// done ends the first run of a task on worker w well.
+func done(c *Checker, task batch.TaskID) {
+	c.Ended("w", 1, task, 1, batch.EndDone, time.Second)
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }() // nothing follows
 	if _, err := c.Write(request); err != nil {
 		return
 	}
