--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,11 @@
 mutants:
 	scripts/mutants
 
+.PHONY: mutants-check
+# All patches apply to the code as it is; what they find is shown by mutants and soak-mutants.
+mutants-check:
+	@for p in tests/mutants/*.patch tests/mutants/soak/*.patch; do git apply --check $$p || { echo "does not apply: $$p"; exit 1; }; done
+
 .PHONY: bench
 # The placement policy against its baselines; BENCH_FLAGS=-short leaves out what depends on wall time.
 bench:
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -163,33 +163,35 @@
 	}
 }
 
-// Submit accepts a job durably: open index first, then the record, then a check that the index entry is still
-// there. If the id is known it returns the existing record and false, or ErrDifferentBody.
+// Submit accepts a job durably: the record and its entry in the open index, in one transaction. If the id is known it
+// returns the existing record and false, or ErrDifferentBody.
 func (s *Store) Submit(ctx context.Context, spec model.JobSpec, cell string) (Record, bool, error) {
-	if r, err := s.Get(ctx, spec.Key); err == nil {
-		return joinExisting(r, spec)
-	} else if !errors.Is(err, ErrNotFound) {
-		return Record{}, false, err
+	now := s.now().UTC()
+	job := model.Job{Spec: spec, Cell: cell, State: model.JobAccepted, Submitted: now, Nonce: uuid.NewString()}
+	value, err := json.Marshal(job)
+	if err != nil {
+		return Record{}, false, merry.Prepend(err, "jobs: encode")
 	}
-	if err := s.putOpen(ctx, cell, spec.Key); err != nil {
-		return Record{}, false, err
+	stamp, err := now.MarshalText()
+	if err != nil {
+		return Record{}, false, merry.Prepend(err, "jobs: encode")
 	}
-	job := model.Job{Spec: spec, Cell: cell, State: model.JobAccepted, Submitted: s.now().UTC()}
-	r, err := s.Write(ctx, job, 0)
-	if errors.Is(err, ErrConflict) || errors.Is(err, ErrUnknownOutcome) {
+	rev, err := s.kv.Txn(ctx, kvstore.Txn{
+		Expect: []kvstore.Condition{{Key: recordKey(spec.Key)}},
+		Puts:   []kvstore.Write{{Key: recordKey(spec.Key), Value: value}, {Key: openKey(cell, spec.Key), Value: stamp}},
+	})
+	switch {
+	case err == nil:
+		return Record{Job: job, Revision: rev}, true, nil
+	case errors.Is(err, kvstore.ErrConflict), errors.Is(err, kvstore.ErrUnknownOutcome):
 		existing, getErr := s.Get(ctx, spec.Key)
 		if getErr != nil {
-			return Record{}, false, err
+			return Record{}, false, translate(err)
 		}
-		return joinExisting(existing, spec)
-	}
-	if err != nil {
-		return Record{}, false, err
-	}
-	if err := s.restoreOpen(ctx, cell, spec.Key); err != nil {
-		return Record{}, false, err
+		joined, _, err := joinExisting(existing, spec)
+		return joined, err == nil && existing.Job.Nonce == job.Nonce, err
 	}
-	return r, true, nil
+	return Record{}, false, translate(err)
 }
 
 // joinExisting compares everything that the caller sent except the deadline, which is relative to the call.
@@ -204,30 +206,6 @@
 	return r, false, nil
 }
 
-// putOpen creates the index entry of a job; an existing one is as good.
-func (s *Store) putOpen(ctx context.Context, cell string, key model.JobKey) error {
-	stamp, err := s.now().UTC().MarshalText()
-	if err != nil {
-		return merry.Prepend(err, "jobs: encode")
-	}
-	_, err = s.kv.Put(ctx, openKey(cell, key), stamp, 0, 0)
-	if errors.Is(err, kvstore.ErrConflict) {
-		return nil
-	}
-	if errors.Is(err, kvstore.ErrUnknownOutcome) {
-		return s.restoreOpen(ctx, cell, key)
-	}
-	return translate(err)
-}
-
-func (s *Store) restoreOpen(ctx context.Context, cell string, key model.JobKey) error {
-	_, err := s.kv.Get(ctx, openKey(cell, key))
-	if errors.Is(err, kvstore.ErrNotFound) {
-		return s.putOpen(ctx, cell, key)
-	}
-	return translate(err)
-}
-
 // Cancel finishes a job that was never claimed, or asks the owner to stop a claimed one. A finished job is
 // returned as it is.
 func (s *Store) Cancel(ctx context.Context, key model.JobKey) (Record, error) {
