The leader settles a submission whose write was not answered

The job was stored, and the leader had it. Change: while the outcome is open the leader is asked whether it has read the job. A job that it knows is stored, so the caller hears that it is accepted. Test: TestLeaderSettlesAWriteWithoutAnAnswer, fails before.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -269,6 +269,9 @@
 		if !unclear && (time.Since(started) > refuseAfter || ctx.Err() != nil) {
 			return Response{Answer: NotRun, Reason: "the store does not answer", RetryAfter: comeBack}
 		}
+		if unclear && s.leaderKnows(ctx, a.rest) {
+			return Response{Answer: OK, Reason: "stored, the leader has it"}
+		}
 		if ctx.Err() != nil {
 			return Response{Answer: Unclear, Reason: "the store has not said whether the job is stored"}
 		}
@@ -276,6 +279,16 @@
 	}
 }
 
+// leaderKnows reports whether the leader has read a job from the store, which may turn this machine away and serve the
+// leader's.
+func (s *Service) leaderKnows(ctx context.Context, id string) bool {
+	_, known, err := s.leader.State(ctx, id, 0)
+	if err != nil {
+		klog.V(1).InfoS("Leader not asked about a submission", "job", id, "err", err)
+	}
+	return known && err == nil
+}
+
 // try makes one write, unless the store has been silent for long.
 func (s *Service) try(ctx context.Context, txn kvstore.Txn, age time.Duration) (kvstore.Revision, error) {
 	if age > downAfter {
