A gang that needs all workers makes its last attempt on all of them

Found on reading: the last attempt was kept from workers on which a task had failed as long as one other worker could hold a task. A gang that needs most of the fleet could then never start. Now the other workers have to hold the whole gang. Test: TestLastAttemptOfAGangThatNeedsAllWorkers, no start before.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -126,13 +126,26 @@
 	return cs
 }
 
-// otherWorkers reports whether a worker on which no task of the unit has failed could hold one.
+// otherWorkers reports whether workers on which no task of the unit has failed could hold it if they were empty.
 func (p *planner) otherWorkers(u unit) bool {
-	need := u.step.spec.Reserved()
-	return slices.ContainsFunc(p.core.fleet, func(w *worker) bool {
-		return w.info != nil && !w.left && !w.info.Leaving && !u.avoid[w.node] && w.info.Service == u.queue.Service &&
-			w.info.HasLabel(u.step.spec.RequiredLabel) && need.Fits(w.info.Capacity)
-	})
+	s := u.step.spec
+	need, n := s.Reserved(), 1
+	if s.Gang {
+		n = s.Count
+	}
+	var cs []candidate
+	for _, w := range p.core.fleet {
+		if w.info == nil || w.left || w.info.Leaving || u.avoid[w.node] || w.info.Service != u.queue.Service ||
+			!w.info.HasLabel(s.RequiredLabel) {
+			continue
+		}
+		copies := need.Copies(w.info.Capacity)
+		if s.MaxPerWorker > 0 {
+			copies = min(copies, s.MaxPerWorker)
+		}
+		cs = append(cs, candidate{node: w.node, copies: copies})
+	}
+	return pack(cs, need, n) != nil
 }
 
 // on returns how many tasks of the step occupy a worker.
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -325,3 +325,22 @@
 		t.Errorf("%d claims, want room to be freed on %s", len(f.c.claims), busy)
 	}
 }
+
+// A gang that needs all workers makes its last attempt on all of them, whatever has failed there: it could never start
+// otherwise.
+func TestLastAttemptOfAGangThatNeedsAllWorkers(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.submit("0000000000000001", 1, 0, batch.Step{Count: 2, Gang: true, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+	s := f.c.jobs["0000000000000001"].occurrences[0].steps[0]
+	s.gangFails = simQueue(0).MaxAttempts - 1
+	s.tasks[0].avoid("a")
+	starts := 0
+	for _, o := range f.settle(0) {
+		if o.Kind == OrderStart {
+			starts++
+		}
+	}
+	if starts != 2 {
+		t.Errorf("%d starts, want 2", starts)
+	}
+}
