--- a/internal/soak/standins.go
+++ b/internal/soak/standins.go
@@ -27,6 +27,8 @@
 	changePause = 1500 * time.Millisecond
 	// operatorKey comes and goes with the changes.
 	operatorKey = "key-of-a-day"
+	// keyReturns is the mean number of changes for which the key is gone: longer than a removed key may be honoured.
+	keyReturns = 6
 	// operatorRetry is the pause between two tries of a change.
 	operatorRetry = 200 * time.Millisecond
 
@@ -77,16 +79,15 @@
 	return listenAndServe(ctx, listen, m)
 }
 
-// Operator writes configurations to the store until ctx ends. Each lets a key come or go, or changes a latency target.
+// Operator writes configurations to the store until ctx ends. The first has a key that the
+// second removes, and that comes back for one change now and then; each changes a latency target.
 func Operator(ctx context.Context, store string, seed uint64) error {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	s := platform.NewStore(store)
 	present := false
 	for version := int64(1); ctx.Err() == nil; version += 1 + rng.Int64N(3) {
 		before := present
-		if version > 1 && rng.IntN(2) == 0 {
-			present = !present
-		}
+		present = version == 1 || !present && rng.IntN(keyReturns) == 0
 		if present && !before {
 			emit(event{Kind: eventKeyAdded, Key: operatorKey})
 		}
