--- a/internal/scheduler/ends.go
+++ b/internal/scheduler/ends.go
@@ -178,7 +178,7 @@
 	case batch.Unknown:
 		t.doubtful = true
 		if t.phase == assigned && now-t.assignedAt < c.config.GangWait/2 {
-			c.outbox = append(c.outbox, o) // a repeated start of the same run does nothing
+			t.repeatAt = now + retryPause
 		} else if t.phase == assigned {
 			c.stop(t, "no answer to the start", now)
 			c.breakGang(t, "member did not answer", now)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -271,7 +271,7 @@
 		t.phase, t.node, t.life = assigned, w.node, w.info.Life
 		t.assignedAt, t.startedAt, t.percentAt, t.startPct = p.now, p.now, p.now, -1
 		t.ordered, t.doubtful = false, false
-		t.confirmed, t.missing, t.stopAt, t.stopSettled, t.percent = false, 0, 0, 0, 0
+		t.confirmed, t.missing, t.stopAt, t.stopSettled, t.percent, t.repeatAt = false, 0, 0, 0, 0, 0
 		w.tasks[t] = struct{}{}
 		p.take(w.node, s.spec.Reserved(), 1)
 		if s.spec.Gang {
--- a/internal/scheduler/rules_test.go
+++ b/internal/scheduler/rules_test.go
@@ -386,3 +386,31 @@
 		t.Errorf("with an end that it was not told to forget a worker reports after %v", got)
 	}
 }
+
+// An order to start that finds no answer is repeated after a pause. Repeated at once towards a worker that resets
+// connections it made a loop of hundreds of orders and log lines a second (soak seed 20).
+func TestUnansweredStartIsRepeatedAfterAPause(t *testing.T) {
+	f := newFixture(t, "a")
+	f.submit("0000000000000001", 1, 0, batch.Step{Count: 1, Estimate: time.Minute, Need: batch.Resources{Accelerators: 8}})
+	f.c.Tick(0, f.wall)
+	b, err := f.c.Take(changesPerWrite)
+	if err != nil {
+		t.Fatal(err)
+	}
+	orders := f.c.Committed(b, 1, 0)
+	if len(orders) != 1 {
+		t.Fatalf("%+v, want one start", orders)
+	}
+	repeated := 0
+	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		for range orders {
+			f.c.Answered(orders[0], batch.Unknown, "reset", at)
+		}
+		f.c.Tick(at, f.wall)
+		orders = f.c.Orders()
+		repeated += len(orders)
+	}
+	if most := int(time.Second / retryPause); repeated < most-2 || repeated > most {
+		t.Errorf("%d repetitions in a second, want one in %v", repeated, retryPause)
+	}
+}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -35,6 +35,7 @@
 	assignedAt  time.Duration
 	startedAt   time.Duration
 	retryAt     time.Duration // no start before
+	repeatAt    time.Duration // when the order to start is sent again; zero: it is not
 	percent     int
 	percentAt   time.Duration // when percent changed last
 	startPct    int           // the percentage at paceFrom; negative if not known
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -220,8 +220,12 @@
 		c.loseTasks(w, "lease expired", now)
 	}
 	for _, t := range w.sorted() {
-		if t.phase == stopping && now-t.stopAt >= stopRepeat && now-w.clockAt <= freshFor {
+		switch {
+		case t.phase == stopping && now-t.stopAt >= stopRepeat && now-w.clockAt <= freshFor:
 			c.sendStop(t, now)
+		case t.phase == assigned && !t.confirmed && t.repeatAt != 0 && now >= t.repeatAt:
+			t.repeatAt = 0
+			c.outbox = append(c.outbox, c.startOrder(t)) // a repeated start of the same run does nothing
 		}
 	}
 }
