--- a/cmd/masticcart-soak/main.go
+++ b/cmd/masticcart-soak/main.go
@@ -25,6 +25,7 @@
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "how long faults are injected"},
 			&cli.IntFlag{Name: "entries", Value: 3},
 			&cli.IntFlag{Name: "workers", Value: 6, Usage: "each with an agent"},
+			&cli.IntFlag{Name: "ballast", Usage: "`MB` of memory that each worker occupies"},
 			&cli.FloatFlag{Name: "rate", Value: 2, Usage: "submissions a second"},
 			&cli.StringFlag{Name: "daemon", Value: "bin/masticcartd", Usage: "`PATH` of masticcartd"},
 			&cli.StringFlag{Name: "keep", Usage: "`DIR` for settings and logs; else a temporary one, kept if a rule is broken"},
@@ -44,9 +45,11 @@
 func standIns() []*cli.Command {
 	text := func(name string) cli.Flag { return &cli.StringFlag{Name: name, Required: true} }
 	return []*cli.Command{
-		{Name: "worker", Hidden: true, Flags: []cli.Flag{text("id"), text("rack"), text("listen"), text("control")},
+		{Name: "worker", Hidden: true, Flags: []cli.Flag{text("id"), text("rack"), text("listen"), text("control"),
+			&cli.IntFlag{Name: "ballast"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				return soak.Worker(ctx, c.String("id"), c.String("rack"), c.String("listen"), c.String("control"))
+				return soak.Worker(ctx, c.String("id"), c.String("rack"), c.String("listen"), c.String("control"),
+					c.Int("ballast"))
 			}},
 		{Name: "store", Hidden: true, Flags: []cli.Flag{text("listen")},
 			Action: func(ctx context.Context, c *cli.Command) error { return soak.Store(ctx, c.String("listen")) }},
@@ -80,7 +83,7 @@
 	}
 	fmt.Printf("seed %d, logs in %s\n", seed, dir)
 	broken, err := soak.Run(ctx, soak.Options{Seed: seed, For: c.Duration("for"), Entries: c.Int("entries"),
-		Workers: c.Int("workers"), Rate: c.Float("rate"), Daemon: daemon, Self: self, Dir: dir})
+		Workers: c.Int("workers"), Rate: c.Float("rate"), Ballast: c.Int("ballast"), Daemon: daemon, Self: self, Dir: dir})
 	if err != nil {
 		return err
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,6 +30,7 @@
 	Entries int
 	Workers int
 	Rate    float64 // of submissions, a second
+	Ballast int     // memory that each worker occupies, in MB
 	Daemon  string  // path of masticcartd
 	Self    string  // path of the program that runs the stand-ins
 	Dir     string  // for settings and logs
@@ -143,7 +144,7 @@
 	}
 	id := fmt.Sprint("i-", n)
 	w, err := r.standin("worker-"+fmt.Sprint(n), "worker", "--id", id, "--rack", fmt.Sprint("r", n/workersEach),
-		"--listen", agent.settings.Worker(), "--control", agent.settings.Control())
+		"--listen", agent.settings.Worker(), "--control", agent.settings.Control(), "--ballast", fmt.Sprint(r.options.Ballast))
 	if err != nil {
 		return err
 	}
--- a/internal/soak/standins.go
+++ b/internal/soak/standins.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
 	"time"
 
 	"masticcart.example/masticcart/internal/batch"
@@ -36,8 +38,14 @@
 	pathCompact = "/compact"
 )
 
-// Worker runs one worker until ctx ends and writes what happens on it to standard output.
-func Worker(ctx context.Context, id, rack, listen, control string) error {
+// Worker runs one worker until ctx ends and writes what happens on it to standard output. It occupies ballastMB of memory,
+// for runs near the limits of the machine.
+func Worker(ctx context.Context, id, rack, listen, control string, ballastMB int) error {
+	ballast := make([]byte, ballastMB<<20)
+	for at := 0; at < len(ballast); at += os.Getpagesize() {
+		ballast[at] = 1 // so that the page is there
+	}
+	defer runtime.KeepAlive(ballast)
 	w := &standin.Worker{ID: id, Service: "s", Rack: rack, GPUs: workerAccelerators, MaxHold: maxHold, Observer: workerEvents{}}
 	w.Boot()
 	go w.Run(ctx)
