--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -188,22 +188,22 @@
 		if getErr != nil {
 			return Record{}, false, translate(err)
 		}
-		joined, _, err := joinExisting(existing, spec)
+		joined, err := joinExisting(existing, spec)
 		return joined, err == nil && existing.Job.Nonce == job.Nonce, err
 	}
 	return Record{}, false, translate(err)
 }
 
 // joinExisting compares everything that the caller sent except the deadline, which is relative to the call.
-func joinExisting(r Record, spec model.JobSpec) (Record, bool, error) {
+func joinExisting(r Record, spec model.JobSpec) (Record, error) {
 	known := r.Job.Spec
 	known.Deadline, spec.Deadline = time.Time{}, time.Time{}
 	a, errA := json.Marshal(known)
 	b, errB := json.Marshal(spec)
 	if errA != nil || errB != nil || !bytes.Equal(a, b) {
-		return Record{}, false, ErrDifferentBody
+		return Record{}, ErrDifferentBody
 	}
-	return r, false, nil
+	return r, nil
 }
 
 // Cancel finishes a job that was never claimed, or asks the owner to stop a claimed one. A finished job is
