--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,7 +46,7 @@
 	ledger       *Ledger
 	stopRequests map[protocol.TaskRef]chan StopRequest // to the goroutine that runs the task
 	taskEnded    map[protocol.TaskRef]chan struct{}    // closed when the task has ended
-	waiters      []chan struct{}                       // signaled when the ledger changes, one channel per session
+	waiters      []chan struct{}                       // signaled when there is something to report, one channel per session
 
 	inFlight sync.WaitGroup
 	stop     context.CancelFunc
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -195,8 +195,8 @@
 	}
 }
 
-// waitForNextReport waits until the next heartbeat is due: after HeartbeatInterval or a change of the ledger. It
-// returns false once ctx or the connection has ended.
+// waitForNextReport waits until the next heartbeat is due: after HeartbeatInterval, or a change of the ledger or of the
+// configuration in force. It returns false once ctx or the connection has ended.
 func (s *Sessions) waitForNextReport(ctx context.Context, ses *session, conn *rpc.Conn) bool {
 	select {
 	case <-ctx.Done():
@@ -249,6 +249,8 @@
 	if reply.Config != nil {
 		if a.config.Apply(reply.Config) {
 			klog.InfoS("Applied configuration", "version", reply.Config.Version, "from", reply.Entry)
+			// The other entries must know of the version before one of them becomes owner and shows it.
+			a.wakeSessions()
 		}
 	}
 	a.mu.Lock()
