intake: an entry cut off from the store leaves the caller time for another entry

Its write got no answer, so the outcome was unknown, and it repeated the write until 2.85 of the caller's 3 s were over. The caller's next attempt, at another entry, was refused because its time was up.

The entry now answers that the outcome is unknown as soon as the store has not answered it for 1.7 s: a poll of the configuration takes 1 s, a call to a slow store up to 0.7 s. Silence is measured from the last answer, not by the age of the configuration, which counts from when the last answered poll was sent and reaches 2 s on a sound store.

--- a/internal/intake/catalog.go
+++ b/internal/intake/catalog.go
@@ -34,6 +34,7 @@
 	catalog     *batch.Catalog
 	revision    kvstore.Revision // of the key
 	confirmedAt time.Duration    // boottime when the last call that the store answered was sent
+	answeredAt  time.Duration    // boottime when the store last answered
 	reachable   bool
 }
 
@@ -56,6 +57,14 @@
 	return w.catalog, kvstore.Condition{Key: w.key, Revision: w.revision}, boottime.Now() - w.confirmedAt
 }
 
+// Silence returns the time since the store last answered this process. It is up to catalogPollWait while the store
+// answers at once.
+func (w *CatalogWatcher) Silence() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return boottime.Now() - w.answeredAt
+}
+
 // Run watches the key until ctx ends.
 func (w *CatalogWatcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -131,7 +140,7 @@
 func (w *CatalogWatcher) markReachable(sent time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.confirmedAt = max(w.confirmedAt, sent)
+	w.confirmedAt, w.answeredAt = max(w.confirmedAt, sent), boottime.Now()
 	if !w.reachable {
 		w.reachable = true
 		klog.InfoS("Dependency regained", "dependency", "store", "version", w.catalog.Version)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -76,8 +76,9 @@
 	retryDelay = 60 * time.Millisecond
 	// maxRetryTime is how long a write that certainly had no effect is retried before the caller is told so.
 	maxRetryTime = 300 * time.Millisecond
-	// storeDownAfter is the time without a response of the store after which submissions are no longer sent to it.
-	storeDownAfter = 2500 * time.Millisecond
+	// maxStoreSilence is the time without an answer of the store after which it counts as out of reach: the answer to the
+	// poll of the configuration is overdue by more than a call to a slow store takes.
+	maxStoreSilence = catalogPollWait + callTimeout
 	// retryAfter is the time after which a caller may retry a request that had no effect.
 	retryAfter = time.Second
 )
@@ -140,11 +141,10 @@
 
 // Ready returns an error while the intake cannot serve callers.
 func (s *Service) Ready() error {
-	catalog, _, age := s.catalogs.Current()
-	if catalog.Version == 0 {
+	if s.catalogs.Catalog().Version == 0 {
 		return errors.New("no configuration yet")
 	}
-	if age > storeDownAfter {
+	if s.storeSilent() {
 		return errors.New("the store does not answer")
 	}
 	return nil
@@ -239,8 +239,12 @@
 	return s.logResponse("Submission answered", r, a, started, s.storeJob(ctx, r, a, value))
 }
 
-// storeJob writes the job on the condition that it is new and that the configuration has not changed. It retries until
-// ctx ends while the outcome is unknown, and for maxRetryTime if no attempt had an effect.
+// storeSilent reports whether the store is out of reach of this process.
+func (s *Service) storeSilent() bool { return s.catalogs.Silence() > maxStoreSilence }
+
+// storeJob writes the job on the condition that it is new and that the configuration has not changed. It retries for
+// maxRetryTime if no attempt had an effect, and while the outcome is unknown until ctx ends or the store is out of
+// reach. The caller can then use the rest of its time to submit the job again through another entry.
 func (s *Service) storeJob(ctx context.Context, r Request, a *admission, value []byte) Response {
 	key := scheduler.JobKey(a.jobID)
 	mayBeStored := false
@@ -249,7 +253,7 @@
 		revision, err := s.tryWrite(ctx, kvstore.Txn{
 			Expect: []kvstore.Condition{{Key: key}, a.condition},
 			Puts:   []kvstore.Write{{Key: key, Value: value}},
-		}, a.age)
+		})
 		var conflict *kvstore.ConflictError
 		switch {
 		case err == nil:
@@ -278,7 +282,7 @@
 		if mayBeStored && s.leaderKnows(ctx, a.jobID) {
 			return Response{Outcome: OK, Reason: "stored, the leader has it"}
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || mayBeStored && s.storeSilent() {
 			return Response{Outcome: OutcomeUnknown, Reason: "the store has not said whether the job is stored"}
 		}
 		wait.For(ctx, retryDelay)
@@ -295,10 +299,9 @@
 	return known && err == nil
 }
 
-// tryWrite makes one attempt to write. age is the time since the store last answered; above storeDownAfter the attempt
-// fails without a call.
-func (s *Service) tryWrite(ctx context.Context, txn kvstore.Txn, age time.Duration) (kvstore.Revision, error) {
-	if age > storeDownAfter {
+// tryWrite makes one attempt to write. It fails without a call if the store is out of reach.
+func (s *Service) tryWrite(ctx context.Context, txn kvstore.Txn) (kvstore.Revision, error) {
+	if s.storeSilent() {
 		return 0, kvstore.ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
