scheduler: durations and ages of runs survive a takeover

Its relatives: the age of a run counted from the takeover, so that the loss of long runs seemed small and preemption chose them; and a run away from its data was judged by the pace of runs near theirs.

Changes: only runs that this leader has seen running count as durations; the record of an assigned run has the time from the job's acceptance to the run's start; distance is worked out again at the first report.

--- a/internal/scheduler/estimates.go
+++ b/internal/scheduler/estimates.go
@@ -33,18 +33,19 @@
 	return d
 }
 
-// recordDuration adds the duration of a successful run to the statistics. Runs away from their data and runs that
-// resumed from a checkpoint do not count.
+// recordDuration adds the duration of a successful run to the statistics. Runs away from their data, runs that resumed
+// from a checkpoint, and runs that this leader has not seen running do not count.
 func (c *Core) recordDuration(t *task, now time.Duration) {
-	if t.basePercent >= 0 && t.basePercent <= maxFreshPercent {
-		t.runTime = now - t.startedAt
+	if !t.confirmed || t.basePercent < 0 || t.basePercent > maxFreshPercent {
+		return
 	}
+	took := now - t.startedAt
+	t.runTime = took
 	estimate := t.step.spec.Estimate
-	if estimate <= 0 || !t.confirmed || t.basePercent > maxFreshPercent || t.remote {
+	if estimate <= 0 || t.remote {
 		return
 	}
 	d := c.durationStats(t.step.job().Queue.Name)
-	took := now - t.startedAt
 	ratio := min(max(float64(took)/float64(estimate), minDurationRatio), maxDurationRatio)
 	d.ratio = d.ratio*(1-durationWeight) + ratio*durationWeight
 	if d.mean == 0 {
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -28,13 +28,15 @@
 
 // fixture is a core with workers whose reports the test provides.
 type fixture struct {
-	t    *testing.T
-	c    *Core
-	wall time.Time
+	t       *testing.T
+	c       *Core
+	wall    time.Time
+	jobs    []batch.Job
+	records map[string][]byte // by job
 }
 
 func newFixture(t *testing.T, nodes ...string) *fixture {
-	f := &fixture{t: t, c: NewCore(simConfig, 0), wall: time.Unix(1_800_000_000, 0)}
+	f := &fixture{t: t, c: NewCore(simConfig, 0), wall: time.Unix(1_800_000_000, 0), records: map[string][]byte{}}
 	f.c.SetCatalog(&batch.Catalog{Version: 1, Queues: []batch.Queue{simQueue(0), simQueue(1), simQueue(2)}})
 	for _, n := range nodes {
 		f.report(n, 0)
@@ -53,12 +55,26 @@
 
 func (f *fixture) submit(id string, priority int, at time.Duration, steps ...batch.Step) {
 	f.t.Helper()
-	if err := f.c.AddJob(batch.Job{ID: id, Queue: simQueue(priority), AcceptedAt: f.wall, Steps: steps}, nil, 0, at,
-		f.wall); err != nil {
+	b := batch.Job{ID: id, Queue: simQueue(priority), AcceptedAt: f.wall.Add(at), Steps: steps}
+	f.jobs = append(f.jobs, b)
+	if err := f.c.AddJob(b, nil, 0, at, b.AcceptedAt); err != nil {
 		f.t.Fatal(err)
 	}
 }
 
+// takeOver replaces the core by that of the next leader, which knows the accepted jobs and their records.
+func (f *fixture) takeOver(at time.Duration) {
+	f.t.Helper()
+	catalog := f.c.catalog
+	f.c = NewCore(simConfig, at)
+	f.c.SetCatalog(catalog)
+	for _, b := range f.jobs {
+		if err := f.c.AddJob(b, f.records[b.ID], 1, at, f.wall.Add(at)); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
 // planAndCommit plans, commits all batches at once, and accepts all start orders. It returns the orders that were sent.
 func (f *fixture) planAndCommit(at time.Duration) []Order {
 	f.t.Helper()
@@ -72,6 +88,9 @@
 		if b == nil {
 			break
 		}
+		for _, change := range b.Changes {
+			f.records[change.Job] = change.Record
+		}
 		for _, o := range f.c.ApplyCommit(b, 1, at) {
 			f.c.ApplyVerdict(o, batch.VerdictAccepted, "", at)
 			orders = append(orders, o)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -269,7 +269,7 @@
 		"first", tasks[0].id.Index, "nodes", nodes, "priority", u.queue.Priority,
 		"waitedMs", j.age(p.now).Milliseconds(), "slackMs", (u.latestStart - p.now).Milliseconds(),
 		"catalog", c.catalog.Version)
-	remote := p.isRemote(s.spec, nodes)
+	remote := c.isRemote(s, nodes)
 	for i, t := range tasks {
 		w := c.workers[nodes[i]]
 		t.remote = remote
@@ -289,12 +289,19 @@
 	c.consumeClaim(s, nodes)
 }
 
-// isRemote reports whether tasks run slower on these workers than near their data or within one rack.
-func (p *planner) isRemote(s *batch.Step, nodes []string) bool {
-	first := p.core.workers[nodes[0]].info.Rack
+// isRemote reports whether tasks of a step run slower on these workers than near their data or within one rack. Workers
+// that have not been announced do not count.
+func (c *Core) isRemote(s *stepInstance, nodes []string) bool {
+	rack := s.spec.DataRack
 	for _, node := range nodes {
-		rack := p.core.workers[node].info.Rack
-		if s.DataRack != "" && rack != s.DataRack || s.OneRack && rack != first {
+		w := c.workers[node]
+		if w == nil || w.info == nil {
+			continue
+		}
+		if rack == "" && s.spec.OneRack {
+			rack = w.info.Rack
+		}
+		if rack != "" && w.info.Rack != rack {
 			return true
 		}
 	}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -74,6 +74,8 @@
 	Run        int    `json:"r,omitempty"`
 	Failures   int    `json:"f,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
+	// StartMS is the time from the acceptance of the job to the start of the run, in milliseconds.
+	StartMS int64 `json:"s,omitempty"`
 	// Node, ID and StartedMS identify the incarnation of the worker that the run is assigned to.
 	Node      string `json:"n,omitempty"`
 	ID        string `json:"i,omitempty"`
@@ -108,6 +110,7 @@
 				rt := recordTask{Index: i, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
 				if t.active() {
 					rt.Node, rt.ID, rt.StartedMS = t.node, t.incarnation.ID, t.incarnation.StartedMS
+					rt.StartMS = j.age(t.startedAt).Milliseconds()
 				}
 				rs.Tasks = append(rs.Tasks, rt)
 			}
@@ -162,6 +165,9 @@
 	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
 	if r.Node != "" {
 		t.phase, t.node, t.incarnation = assigned, r.Node, batch.Incarnation{ID: r.ID, StartedMS: r.StartedMS}
-		t.assignedAt, t.startedAt, t.progressAt = now, now, now
+		j := t.step.job()
+		accepted := j.learnedAt - j.initialAge
+		t.startedAt = min(now, accepted+time.Duration(r.StartMS)*time.Millisecond)
+		t.assignedAt, t.progressAt, t.basePercent = now, now, -1
 	}
 }
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -213,8 +213,13 @@
 		return
 	}
 	c.stats.Started++
-	t.confirmed, t.confirmedAt, t.startedAt, t.progressAt = true, now, now, now
+	t.confirmed, t.confirmedAt, t.progressAt = true, now, now
 	t.basePercent, t.paceSince = 0, now
+	if t.startSent {
+		t.startedAt = now
+	} else { // started by a previous leader
+		t.remote = c.isRemote(t.step, t.nodes())
+	}
 	if t.checkpoint != "" || !t.startSent || t.startUncertain {
 		t.basePercent = -1
 	}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -33,7 +33,7 @@
 	confirmed      bool // the worker has reported or accepted the run
 	confirmedAt    time.Duration
 	assignedAt     time.Duration
-	startedAt      time.Duration
+	startedAt      time.Duration // of the run, also if a previous leader started it
 	retryAt        time.Duration // earliest time of the next placement
 	resendAt       time.Duration // when to send the start order again; zero for never
 	percent        int
@@ -62,6 +62,20 @@
 // active reports whether the task occupies its worker.
 func (t *task) active() bool { return t.phase == assigned || t.phase == stopping }
 
+// nodes returns the nodes of the task, or of all active members of its gang.
+func (t *task) nodes() []string {
+	if !t.step.spec.Gang {
+		return []string{t.node}
+	}
+	var nodes []string
+	for _, m := range t.step.tasks {
+		if m.active() {
+			nodes = append(nodes, m.node)
+		}
+	}
+	return nodes
+}
+
 // stepInstance is a step of one occurrence.
 type stepInstance struct {
 	occurrence    *occurrence
