scheduler: account of lost work by cause

The core now adds up the core-seconds of runs that end without success, by cause (preempted, job cancelled, job failed, failed, stands still, crawls, lost with worker, and causes of their own for the members of a gang); work that a checkpoint has saved does not count. It is shown as masticcart_scheduler_lost_core_seconds{cause} and by 'show losses'. The counters of a second term of one process began below those of the first and stood still until they had caught up; each term now begins at zero.

No decision changes.

--- a/internal/hosted/query.go
+++ b/internal/hosted/query.go
@@ -63,19 +63,20 @@
 	if err != nil {
 		return nil, err
 	}
-	jobs, workers, catalog, isLeader := s.View()
-	if !isLeader {
+	state := s.View()
+	if state == nil {
 		return nil, errNoLeader
 	}
-	reply := protocol.CellView{Owner: true, ConfigVersion: catalog.Version, Upstreams: workers}
+	reply := protocol.CellView{Owner: true, ConfigVersion: state.Catalog.Version, Upstreams: state.Workers,
+		LostCoreSeconds: state.LostCoreSeconds}
 	var finished []model.Job
-	for i := range jobs {
-		if jobs[i].Job.Outcome != nil {
-			finished = append(finished, jobs[i].Job)
+	for _, j := range state.Jobs {
+		if j.Job.Outcome != nil {
+			finished = append(finished, j.Job)
 		} else {
-			reply.Jobs = append(reply.Jobs, jobs[i])
+			reply.Jobs = append(reply.Jobs, j)
 		}
 	}
-	view := query.NewView(time.Now(), scheduler.ConfigView(catalog), []protocol.CellView{reply}, finished)
+	view := query.NewView(time.Now(), scheduler.ConfigView(state.Catalog), []protocol.CellView{reply}, finished)
 	return query.Evaluate(q, view, query.Viewer{})
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -340,6 +340,8 @@
 	ConfigVersion int64          `json:"config_version"`
 	Jobs          []JobView      `json:"jobs,omitempty"`
 	Upstreams     []UpstreamView `json:"workers,omitempty"`
+	// LostCoreSeconds is the work that was thrown away since the entry began to schedule, by cause.
+	LostCoreSeconds map[string]float64 `json:"lost_core_seconds,omitempty"`
 	// More is set when another page follows.
 	More bool `json:"more,omitempty"`
 }
--- a/internal/query/tables.go
+++ b/internal/query/tables.go
@@ -1,6 +1,8 @@
 package query
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"masticcart.example/masticcart/internal/client/api"
@@ -99,6 +101,11 @@
 		operatorsOnly: true,
 		rows:          entryRows,
 	},
+	"losses": {
+		columns:       []column{textColumn("cause"), numberColumn("core_seconds")},
+		operatorsOnly: true,
+		rows:          lossRows,
+	},
 }
 
 var statusTable = &table{
@@ -280,6 +287,21 @@
 	return rows
 }
 
+// lossRows lists the lost work of all entries by cause.
+func lossRows(s *queryScope) [][]Value {
+	sum := map[string]float64{}
+	for _, e := range s.Entries {
+		for cause, lost := range e.LostCoreSeconds {
+			sum[cause] += lost
+		}
+	}
+	var rows [][]Value
+	for _, cause := range slices.Sorted(maps.Keys(sum)) {
+		rows = append(rows, []Value{textValue(cause), numberValue(int64(sum[cause]))})
+	}
+	return rows
+}
+
 // ConfigStatus lists the configuration version in force at each process of the view.
 func ConfigStatus(v *View) []api.ConfigStatusRow {
 	rows := make([]api.ConfigStatusRow, 0, len(v.Entries)+len(v.Upstreams))
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -79,6 +79,7 @@
 	earliestPlan       time.Duration
 	checkpointsSavedAt time.Duration // when jobs with new checkpoints were last marked for writing
 	stats              Stats
+	lostWork           map[LossCause]float64 // core-seconds
 }
 
 // Stats counts events of runs and tasks since the leader took over.
@@ -90,7 +91,7 @@
 func NewCore(config Config, now time.Duration) *Core {
 	return &Core{config: config, jobs: map[string]*job{}, workers: map[string]*worker{},
 		earlyCancels: map[string]bool{}, claims: map[*stepInstance]*claim{}, startedAt: now, catalog: &batch.Catalog{},
-		durations: map[string]*durationStats{}}
+		durations: map[string]*durationStats{}, lostWork: map[LossCause]float64{}}
 }
 
 // Stats returns the number of events of runs and tasks by kind.
@@ -173,7 +174,7 @@
 	j.forEachTask(func(t *task) {
 		switch t.phase {
 		case assigned:
-			c.stopRun(t, "job "+string(state), now)
+			c.stopRun(t, finalLossCause(state), "job "+string(state), now)
 		case waiting:
 			t.phase = done
 		}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -14,6 +14,7 @@
 	writeLatency tally.Histogram
 	orderLatency tally.Histogram
 	lastStats    Stats
+	lastLostWork map[LossCause]int64 // core-seconds
 }
 
 // latencyBuckets range from a call within a data centre to one that timed out.
@@ -23,7 +24,12 @@
 func NewMetrics(scope tally.Scope) *Metrics {
 	scope = scope.SubScope("scheduler")
 	return &Metrics{scope: scope, writeLatency: scope.Histogram("write_latency", latencyBuckets),
-		orderLatency: scope.Histogram("order_latency", latencyBuckets)}
+		orderLatency: scope.Histogram("order_latency", latencyBuckets), lastLostWork: map[LossCause]int64{}}
+}
+
+// startTerm prepares for the counts of a new core, which begin at zero.
+func (m *Metrics) startTerm() {
+	m.lastStats, m.lastLostWork = Stats{}, map[LossCause]int64{}
 }
 
 func (m *Metrics) recordWrite(took time.Duration) { m.writeLatency.RecordDuration(took) }
@@ -49,6 +55,18 @@
 		}
 	}
 	m.lastStats = now
+	m.updateLostWork(c)
 	m.scope.Gauge("jobs_open").Update(float64(len(c.openJobs)))
 	m.scope.Gauge("workers").Update(float64(len(c.workers)))
 }
+
+// updateLostWork adds the whole core-seconds that were lost since the last call to the counters.
+func (m *Metrics) updateLostWork(c *Core) {
+	for cause, lost := range c.LostWork() {
+		now, before := int64(lost), m.lastLostWork[cause]
+		if now > before {
+			m.scope.Tagged(map[string]string{"cause": string(cause)}).Counter("lost_core_seconds").Inc(now - before)
+		}
+		m.lastLostWork[cause] = now
+	}
+}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -92,8 +92,8 @@
 		if v.phase == assigned {
 			p.core.stats.Preempted++
 			v.preemptions++
-			p.core.stopRun(v, "preempted by "+s.job().ID, p.now)
-			p.core.stopGang(v, "member preempted", p.now)
+			p.core.stopRun(v, LossPreempted, "preempted by "+s.job().ID, p.now)
+			p.core.stopGang(v, LossMemberPreempted, "member preempted", p.now)
 		}
 	}
 	return cl
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -34,13 +34,13 @@
 
 func (c *Core) applyEnd(w *worker, t *task, e batch.EndedTask, now time.Duration, wall time.Time) {
 	j := t.step.job()
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
+	if e.Checkpoint != "" && e.Checkpoint != t.checkpoint {
+		t.checkpoint, t.checkpointAt = e.Checkpoint, now
 	}
 	final := j.state.Final()
 	switch {
 	case final:
-		c.requeue(t, now)
+		c.requeue(t, finalLossCause(j.state), now)
 	case e.Outcome == batch.OutcomeDone:
 		w.failedJobs = 0
 		c.recordDuration(t, now)
@@ -48,8 +48,8 @@
 	case e.Outcome == batch.OutcomeFailed:
 		c.countFailure(w, t, now, wall)
 	default:
-		c.requeue(t, now)
-		c.stopGang(t, "member ended "+string(e.Outcome), now)
+		c.requeue(t, LossEnded, now)
+		c.stopGang(t, LossMemberLost, "member ended "+string(e.Outcome), now)
 	}
 }
 
@@ -103,31 +103,32 @@
 	}
 	t.avoid(w.node)
 	c.countWorkerFailure(w, t, now)
-	c.requeue(t, now)
+	c.requeue(t, LossFailed, now)
 	limit := c.queue(j).MaxAttempts
 	if !s.spec.LongRunning && limit > 0 && failures >= limit {
 		klog.InfoS("Attempts used up", "task", t.id, "run", t.run, "fails", failures, "limit", limit)
 		c.finish(j, batch.Failed, now, wall)
 		return
 	}
-	c.stopGang(t, "member failed", now)
+	c.stopGang(t, LossMemberFailed, "member failed", now)
 }
 
 // stopGang stops the remaining members of a gang's run after one of them has ended.
-func (c *Core) stopGang(t *task, reason string, now time.Duration) {
+func (c *Core) stopGang(t *task, cause LossCause, reason string, now time.Duration) {
 	if !t.step.spec.Gang {
 		return
 	}
 	for _, m := range t.step.tasks {
 		if m.phase == assigned && m.run == t.run {
-			c.stopRun(m, reason, now)
+			c.stopRun(m, cause, reason, now)
 		}
 	}
 }
 
 // requeue handles the end of a run without success: the task waits to be placed again unless its job is in a final
-// state.
-func (c *Core) requeue(t *task, now time.Duration) {
+// state. cause is why its work is lost, unless the run was being stopped for another reason.
+func (c *Core) requeue(t *task, cause LossCause, now time.Duration) {
+	c.recordLoss(t, cause, now)
 	c.unassign(t)
 	t.phase = waiting
 	if t.step.job().state.Final() {
@@ -144,14 +145,15 @@
 		delete(w.tasks, t)
 	}
 	t.node, t.incarnation, t.confirmed, t.missedReports, t.reason = "", batch.Incarnation{}, false, 0, ""
-	t.percent, t.stopSentAt, t.stopAckedAt = 0, 0, 0
+	t.percent, t.stopSentAt, t.stopAckedAt, t.stopCause, t.checkpointAt = 0, 0, 0, "", 0
 }
 
-// stopRun orders a worker to stop a run. The capacity stays reserved until the end of the run is certain.
-func (c *Core) stopRun(t *task, reason string, now time.Duration) {
+// stopRun orders a worker to stop a run. The capacity stays reserved until the end of the run is certain. cause is for
+// the account of lost work, reason for operators.
+func (c *Core) stopRun(t *task, cause LossCause, reason string, now time.Duration) {
 	klog.InfoS("Stopping run", "task", t.id, "run", t.run, "node", t.node, "worker", t.incarnation, "reason", reason,
 		"percent", t.percent)
-	t.phase, t.reason = stopping, reason
+	t.phase, t.stopCause, t.reason = stopping, cause, reason
 	c.queueStop(t, now)
 }
 
@@ -183,8 +185,8 @@
 		if t.phase == assigned && now-t.assignedAt < c.config.GangWait/2 {
 			t.resendAt = now + startRetryDelay
 		} else if t.phase == assigned {
-			c.stopRun(t, "no answer to the start", now)
-			c.stopGang(t, "member did not answer", now)
+			c.stopRun(t, LossOrder, "no answer to the start", now)
+			c.stopGang(t, LossMemberLost, "member did not answer", now)
 		}
 	case batch.VerdictOldIncarnation:
 		// The incarnation that the order was for has ended. The first report of the next one requeues the task.
@@ -198,12 +200,12 @@
 			// The run was stopped or has ended on the worker, possibly with success: the next report tells.
 			t.phase, t.reason, t.stopSentAt, t.stopAckedAt = stopping, "start was stale", now, now
 		case t.startUncertain:
-			c.stopRun(t, "refused after an order without an answer", now)
+			c.stopRun(t, LossOrder, "refused after an order without an answer", now)
 		default:
-			c.requeue(t, now)
+			c.requeue(t, LossOrder, now)
 			t.retryAt = now + startRetryDelay
 		}
-		c.stopGang(t, "member was refused: "+string(v), now)
+		c.stopGang(t, LossMemberLost, "member was refused: "+string(v), now)
 	}
 }
 
@@ -248,7 +250,7 @@
 		c.confirmStart(t, now)
 		t.missedReports = 0
 		if run.Checkpoint != "" && run.Checkpoint != t.checkpoint {
-			t.checkpoint = run.Checkpoint
+			t.checkpoint, t.checkpointAt = run.Checkpoint, now
 			t.step.job().checkpointUnsaved = true
 		}
 		if t.basePercent < 0 { // resumed from a checkpoint, or started by a previous leader
@@ -269,16 +271,16 @@
 		case t.phase == stopping && t.stopAckedAt != 0 && r.SentAt > t.stopAckedAt+c.config.StopTimeout:
 			klog.InfoS("Stopped run is no longer reported", "task", t.id, "run", t.run, "node", w.node,
 				"reason", t.reason)
-			c.requeue(t, now)
+			c.requeue(t, LossOrder, now)
 		case t.phase == assigned && t.step.job().state.Final():
-			c.stopRun(t, "job "+string(t.step.job().state), now)
+			c.stopRun(t, finalLossCause(t.step.job().state), "job "+string(t.step.job().state), now)
 		case t.phase == assigned && !t.startSent && !t.step.job().dirty && !t.step.job().writing:
 			// A previous leader recorded the assignment, and may not have sent the order.
 			t.startSent, t.startUncertain, t.assignedAt = true, true, now
 			c.outbox = append(c.outbox, c.startOrder(t))
 		case t.phase == assigned && t.confirmed && r.SentAt > t.confirmedAt && len(r.Runs.Ended) < maxEndsPerReport:
 			if t.missedReports++; t.missedReports >= maxMissedReports {
-				c.stopRun(t, "missing from the worker's list", now)
+				c.stopRun(t, LossOrder, "missing from the worker's list", now)
 			}
 		}
 	}
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -68,6 +68,7 @@
 	t := &leaderTerm{service: s, term: term, wake: make(chan struct{}, 1), termEnded: make(chan error, 1),
 		batches: make(chan *WriteBatch, writerCount), idleWriters: make(chan struct{}, writerCount),
 		recordsWritten: make(chan struct{}), sessions: map[string]*session{}, core: NewCore(s.config, boottime.Now())}
+	s.metrics.startTerm()
 	revision, err := t.load(ctx)
 	if err != nil {
 		return err
@@ -175,18 +176,29 @@
 	return e, known, true
 }
 
-// View returns all jobs and workers and the configuration in force. leads is false unless this process is the leader.
-func (s *Service) View() (
-	jobs []protocol.JobView, workers []protocol.UpstreamView, catalog *batch.Catalog, leads bool,
-) {
+// View is the leader's state in the terms of the query language.
+type View struct {
+	Jobs    []protocol.JobView
+	Workers []protocol.UpstreamView
+	Catalog *batch.Catalog
+	// LostCoreSeconds is the work that was thrown away in this term, by LossCause.
+	LostCoreSeconds map[string]float64
+}
+
+// View returns the state of the scheduler, or nil unless this process is the leader.
+func (s *Service) View() *View {
 	t := s.currentTerm()
 	if t == nil {
-		return nil, nil, nil, false
+		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	jobs, workers = t.core.View(boottime.Now(), time.Now())
-	return jobs, workers, t.core.catalog, true
+	v := &View{Catalog: t.core.catalog, LostCoreSeconds: map[string]float64{}}
+	v.Jobs, v.Workers = t.core.View(boottime.Now(), time.Now())
+	for cause, lost := range t.core.LostWork() {
+		v.LostCoreSeconds[string(cause)] = lost
+	}
+	return v
 }
 
 // endTerm ends the term with an error.
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -30,6 +30,14 @@
 	maxMoves = 1
 )
 
+// Reasons why a run is moved to another worker.
+const (
+	reasonStalled = "stands still"
+	reasonSlow    = "crawls"
+)
+
+var stragglerLossCauses = map[string]LossCause{reasonStalled: LossStalled, reasonSlow: LossSlow}
+
 // straggleReason returns why a run should be stopped and started on another worker, or an empty string.
 func (c *Core) straggleReason(t *task, now time.Duration) string {
 	if t.phase != assigned || !t.confirmed || t.basePercent < 0 || t.moves >= maxMoves || t.step.spec.LongRunning ||
@@ -44,7 +52,7 @@
 		return ""
 	}
 	if now-t.progressAt > max(stallTimeout, usual*stallPercents/100) {
-		return "stands still"
+		return reasonStalled
 	}
 	if now-t.paceSince < minJudgedTime || t.step.spec.Gang {
 		return ""
@@ -58,7 +66,7 @@
 	total := t.projectedTime(now)
 	rest := time.Duration(float64(total) * float64(100-t.percent) / 100)
 	if float64(total) > slowFactor*float64(usual) && rest > usual+minTimeSaved {
-		return "crawls"
+		return reasonSlow
 	}
 	return ""
 }
@@ -100,6 +108,6 @@
 	} else {
 		c.quarantine(w, "a run "+reason, now)
 	}
-	c.stopRun(t, reason, now)
-	c.stopGang(t, "member "+reason, now)
+	c.stopRun(t, stragglerLossCauses[reason], reason, now)
+	c.stopGang(t, LossMemberStalled, "member "+reason, now)
 }
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -49,6 +49,8 @@
 	moves          int           // number of moves away from workers on which the run was slow or stalled
 	remote         bool          // away from its data, or spread over several racks
 	reason         string        // why the run is being stopped
+	stopCause      LossCause     // the same for the account of lost work
+	checkpointAt   time.Duration // when the last checkpoint of the run was reported; zero before
 }
 
 // avoid marks a worker as one on which the task failed or straggled, so that others are preferred.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -275,6 +275,6 @@
 	c.stats.Lost++
 	klog.InfoS("Run lost", "task", t.id, "run", t.run, "node", t.node, "worker", t.incarnation, "reason", reason,
 		"percent", t.percent, "checkpoint", t.checkpoint)
-	c.requeue(t, now)
-	c.stopGang(t, "member lost", now)
+	c.requeue(t, LossWorker, now)
+	c.stopGang(t, LossMemberLost, "member lost", now)
 }
