scheduler: the next leader avoids workers on which a task failed or stood still

The workers to avoid were in the leader's memory only.

They are now part of a task's record, and a move is recorded at once. TestNextLeaderAvoidsTheWorkerOfAStalledRun fails without the change.

--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"masticcart.example/masticcart/internal/batch"
@@ -76,6 +78,8 @@
 	Checkpoint string `json:"c,omitempty"`
 	// StartMS is the time from the acceptance of the job to the start of the run, in milliseconds.
 	StartMS int64 `json:"s,omitempty"`
+	// Avoided lists the nodes on which the task failed or straggled.
+	Avoided []string `json:"a,omitempty"`
 	// Node, ID and StartedMS identify the incarnation of the worker that the run is assigned to.
 	Node      string `json:"n,omitempty"`
 	ID        string `json:"i,omitempty"`
@@ -107,7 +111,8 @@
 				if t.run == 0 {
 					continue
 				}
-				rt := recordTask{Index: i, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+				rt := recordTask{Index: i, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
+					Avoided: slices.Sorted(maps.Keys(t.failedOn))}
 				if t.active() {
 					rt.Node, rt.ID, rt.StartedMS = t.node, t.incarnation.ID, t.incarnation.StartedMS
 					rt.StartMS = j.age(t.startedAt).Milliseconds()
@@ -163,6 +168,9 @@
 
 func (t *task) restore(r recordTask, now time.Duration) {
 	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	for _, node := range r.Avoided {
+		t.avoid(node)
+	}
 	if r.Node != "" {
 		t.phase, t.node, t.incarnation = assigned, r.Node, batch.Incarnation{ID: r.ID, StartedMS: r.StartedMS}
 		j := t.step.job()
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -100,6 +100,7 @@
 		"percent", t.percent, "ranMs", (now - t.startedAt).Milliseconds(),
 		"expectedMs", c.expectedDuration(t.step).Milliseconds(), "moves", t.moves)
 	t.avoid(w.node)
+	t.step.job().dirty = true // the next leader has to avoid the worker as well
 	t.moves++
 	if t.step.spec.Gang {
 		for _, m := range t.step.tasks {
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -88,3 +88,39 @@
 		t.Error("the run counts as near its data")
 	}
 }
+
+// The next leader placed a gang on the worker on which a member had stood still, where it stood still again.
+func TestNextLeaderAvoidsTheWorkerOfAStalledRun(t *testing.T) {
+	nodes := []string{"a", "b", "c"}
+	f := newFixture(t, nodes...)
+	f.submit(takeoverJob, 1, 0, batch.Step{Count: 2, Gang: true, Estimate: time.Second,
+		Need: batch.Resources{Accelerators: 8}})
+	f.planAndCommit(0)
+	stalled := f.c.jobs[takeoverJob].findTask(batch.TaskID{Job: takeoverJob}).node
+	at := time.Duration(0)
+	for at < 3*time.Second && f.c.stats.Moved == 0 {
+		at += 400 * time.Millisecond
+		for _, n := range nodes {
+			percent := int(at / (100 * time.Millisecond))
+			if n == stalled {
+				percent = 20
+			}
+			f.reportAll(at, percent, n)
+		}
+	}
+	f.planAndCommit(at) // records the move
+	f.takeOver(at)
+	for _, n := range nodes {
+		for _, x := range f.c.worker(n, at).sortedTasks() {
+			f.report(n, at)
+			f.endRun(x.id, 1, at, batch.OutcomeStopped)
+		}
+		f.report(n, at)
+	}
+	f.planAndCommit(at)
+	for _, x := range f.c.jobs[takeoverJob].occurrences[0].steps[0].tasks {
+		if !x.active() || x.node == stalled {
+			t.Errorf("%v is on %q, want another worker than %q", x.id, x.node, stalled)
+		}
+	}
+}
