scheduler: log and count crashes of workers

Cause: when a worker was lost, the log named its runs one by one, without the time between their start and the loss, so a task that crashes its workers could not be told from a worker that crashes by itself or from a repeated order.

Change: the leader notes since when a worker does not answer its agent, and logs each unannounced end of an incarnation with all runs on it and those that were starting. A counter workers_crashed.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -85,6 +85,7 @@
 // Stats counts events of runs and tasks since the leader took over.
 type Stats struct {
 	Started, Refused, Preempted, Lost, Failed, Done, Moved int64
+	Crashed                                                int64 // workers
 }
 
 // NewCore returns a core without jobs and workers.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -276,7 +276,7 @@
 		t.run = max(t.run+1, run)
 		t.phase, t.node, t.incarnation = assigned, w.node, w.info.Incarnation
 		t.assignedAt, t.startedAt, t.progressAt, t.basePercent = p.now, p.now, p.now, -1
-		t.startSent, t.startUncertain = false, false
+		t.startSent, t.startUncertain, t.inherited = false, false, false
 		t.confirmed, t.missedReports, t.stopSentAt, t.stopAckedAt, t.percent, t.resendAt = false, 0, 0, 0, 0, 0
 		w.tasks[t] = struct{}{}
 		p.consume(w.node, s.spec.Reserved(), 1)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -176,6 +176,6 @@
 		j := t.step.job()
 		accepted := j.learnedAt - j.initialAge
 		t.startedAt = min(now, accepted+time.Duration(r.StartMS)*time.Millisecond)
-		t.assignedAt, t.progressAt, t.basePercent = now, now, -1
+		t.assignedAt, t.progressAt, t.basePercent, t.inherited = now, now, -1, true
 	}
 }
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -29,6 +29,7 @@
 	checkpoint  string
 
 	startSent      bool // this leader has sent the start order
+	inherited      bool // a previous leader recorded the assignment, and may have sent the order
 	startUncertain bool // a start order was not answered and may still be carried out
 	confirmed      bool // the worker has reported or accepted the run
 	confirmedAt    time.Duration
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -19,6 +19,7 @@
 	leaseExpiresBy time.Duration
 	workerClockMS  int64         // the worker's clock in the last report
 	reportedAt     time.Duration // when the last report was received
+	downSince      time.Duration // since when the worker does not answer its agent, or never
 	reached        bool          // this leader has received a report of the current incarnation
 	hasLeft        bool
 	lastEnd        int64 // number of the last ended run that was applied
@@ -35,6 +36,8 @@
 	failedJobs       int    // consecutive failed runs of different jobs
 	lastFailedJob    string // job of the last of them
 	quarantinedUntil time.Duration
+	// replaced is the incarnation before the current one until the first report of the current one.
+	replaced *endedIncarnation
 }
 
 // worker returns the state of a worker and creates it if necessary. A new one may still hold a lease of the previous
@@ -43,7 +46,7 @@
 	w := c.workers[node]
 	if w == nil {
 		w = &worker{node: node, tasks: map[*task]struct{}{}, leaseExpiresBy: c.startedAt + c.config.TakeoverWait,
-			orphanStops: map[string]time.Duration{}}
+			orphanStops: map[string]time.Duration{}, downSince: never}
 		w.leaseExpiresBy = max(w.leaseExpiresBy, now)
 		c.workers[node] = w
 		at, _ := slices.BinarySearchFunc(c.sortedWorkers, node, func(o *worker, node string) int {
@@ -166,12 +169,15 @@
 		klog.InfoS("Worker has left", "node", w.node, "worker", w.info.Incarnation, "tasks", len(w.tasks))
 		c.markTasksLost(w, "worker left", r.ReceivedAt)
 	}
-	if r.Runs == nil {
+	if r.Runs == nil || w.info == nil || r.Runs.Incarnation.StartedMS != w.info.Incarnation.StartedMS {
+		// No answer, or one of another incarnation than the announced one.
+		if w.reached && w.downSince == never && r.SentAt >= w.reportSentAt {
+			klog.InfoS("Worker does not answer its agent", "node", w.node, "worker", w.incarnation(),
+				"tasks", len(w.tasks))
+			w.downSince = r.ReceivedAt
+		}
 		return
 	}
-	if w.info == nil || r.Runs.Incarnation.StartedMS != w.info.Incarnation.StartedMS {
-		return // of another incarnation than the announced one
-	}
 	if r.SentAt < w.reportSentAt || w.epoch > 0 && r.SentAt < w.announcedAt {
 		return // overtaken by a later report, or requested before the fence of this incarnation
 	}
@@ -187,7 +193,8 @@
 		// the clock of the previous incarnation may have given this one the longest lease.
 		w.leaseExpiresBy = r.ReceivedAt + maxLeaseTime(c.config.MaxLease)
 	}
-	w.reached, w.reportSentAt, w.workerClockMS, w.reportedAt = true, r.SentAt, r.Runs.ClockMS, r.ReceivedAt
+	w.reached, w.downSince, w.replaced = true, never, nil
+	w.reportSentAt, w.workerClockMS, w.reportedAt = r.SentAt, r.Runs.ClockMS, r.ReceivedAt
 	c.applyEnds(w, r.Runs.Ended, r.ReceivedAt, wall)
 	c.reconcileRuns(w, r)
 }
@@ -203,6 +210,9 @@
 	w.info = info
 	if before != nil && before.Incarnation != info.Incarnation {
 		w.epoch++
+		if w.replaced == nil {
+			w.replaced = &endedIncarnation{before.Incarnation, w.downSince, before.Leaving || w.hasLeft}
+		}
 	}
 	if before == nil || before.Incarnation != info.Incarnation {
 		klog.InfoS("Worker described", "node", w.node, "worker", info.Incarnation, "service", info.Service,
@@ -257,6 +267,7 @@
 	for _, e := range runs.Ended {
 		reported[key{e.Task, e.Run}] = true
 	}
+	var lost []*task
 	for _, t := range w.sortedTasks() {
 		switch {
 		case t.incarnation == w.info.Incarnation:
@@ -265,9 +276,13 @@
 				"worker", w.info.Incarnation, "before", t.incarnation)
 			t.incarnation = w.info.Incarnation
 		default:
-			c.markLost(t, "worker started again", now)
+			lost = append(lost, t)
 		}
 	}
+	c.recordCrash(w, lost, now)
+	for _, t := range lost {
+		c.markLost(t, "worker started again", now)
+	}
 }
 
 // markLost ends a run whose outcome is unknown, and the run of its gang.
