--- /dev/null
+++ b/internal/scheduler/crash_test.go
@@ -0,0 +1,109 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"masticcart.example/masticcart/internal/batch"
+)
+
+const crashingJob = "00000000000000c1"
+
+// restartTime is how long a crashed worker of these tests takes until its next incarnation answers.
+const restartTime = 3 * time.Second
+
+// crash lets a worker stop answering its agent, and its next incarnation answer after restartTime. Other workers keep
+// reporting their runs. It returns the time of the next incarnation's first report.
+func (f *fixture) crash(node string, at time.Duration) time.Duration {
+	f.c.ApplyReport(Report{Node: node, SentAt: at, ReceivedAt: at}, f.wall)
+	back := at + restartTime
+	for _, n := range f.nodes {
+		if n != node {
+			f.reportAll(back, min(int(back/time.Second), 90), n)
+		}
+	}
+	f.incarnations[node]++
+	f.report(node, back)
+	return back
+}
+
+// crashUnder plans, and crashes the worker of the task 10 ms after its start, until the job is final or the task was
+// started limit times. It returns the number of crashes.
+func (f *fixture) crashUnder(id batch.TaskID, at time.Duration, limit int) (int, time.Duration) {
+	crashes := 0
+	for crashes < limit && !jobState(f.c, id.Job).Final() {
+		f.planAndCommit(at)
+		x := f.c.jobs[id.Job].findTask(id)
+		if x == nil || x.phase != assigned {
+			at += planInterval
+			f.reportEverywhere(at)
+			continue
+		}
+		at = f.crash(x.node, at+10*time.Millisecond)
+		crashes++
+	}
+	f.planAndCommit(at)
+	return crashes, at
+}
+
+// maxCrashes is the number of workers that may crash under a task: the platform's rules allow two more starts after the
+// third crash.
+const maxCrashes = 5
+
+// Guards against a task that crashes one worker after the other without limit, since a worker that crashes lists no
+// failed run and the lost run counted for nothing.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	f := newFixture(t, "a", "b", "c", "d")
+	f.submit(crashingJob, 1, 0, batch.Step{Count: 2, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+	crashes, _ := f.crashUnder(batch.TaskID{Job: crashingJob}, 0, maxCrashes+1)
+	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes > maxCrashes || crashes < 2 {
+		t.Fatalf("job is %s after %d crashes, want failed after 2 to %d", state, crashes, maxCrashes)
+	}
+}
+
+// Guards against a leader that counts the crashes under a task from zero after it has taken over.
+func TestCrashesUnderATaskSurviveALeaderChange(t *testing.T) {
+	f := newFixture(t, "a", "b", "c", "d")
+	f.submit(crashingJob, 1, 0, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+	crashes, at := 0, time.Duration(0)
+	for range maxCrashes + 1 {
+		var n int
+		n, at = f.crashUnder(batch.TaskID{Job: crashingJob}, at, 1)
+		crashes += n
+		f.takeOver(at)
+		f.reportEverywhere(at)
+	}
+	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes > maxCrashes {
+		t.Fatalf("job is %s after %d crashes, want failed after at most %d", state, crashes, maxCrashes)
+	}
+}
+
+// Guards against a job that is given up because the task of another job crashed its workers.
+func TestBystandersOfACrashAreNotGivenUp(t *testing.T) {
+	const bystander = "00000000000000c2"
+	f := newFixture(t, "a", "b", "c")
+	long := batch.Step{Count: 3, Estimate: time.Minute, Need: batch.Resources{Accelerators: 4}}
+	f.submit(bystander, 1, 0, long)
+	f.planAndCommit(0)
+	at := 5 * time.Second
+	f.reportEverywhere(at)
+	for n := range 4 { // four jobs of which each task crashes its worker
+		id := batch.TaskID{Job: "00000000000000d" + string(rune('0'+n))}
+		f.submit(id.Job, 1, at, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 1}})
+		_, at = f.crashUnder(id, at, maxCrashes+1)
+		if state := jobState(f.c, id.Job); state != batch.Failed {
+			t.Errorf("job %d is %s, want failed", n, state)
+		}
+		at += 5 * time.Second
+		f.reportEverywhere(at)
+		f.planAndCommit(at)
+	}
+	if state := jobState(f.c, bystander); state.Final() {
+		t.Fatalf("the bystander is %s", state)
+	}
+	for _, w := range f.c.sortedWorkers {
+		if at < w.quarantinedUntil {
+			t.Errorf("worker %s is in quarantine for the crashes of a task", w.node)
+		}
+	}
+}
