scheduler: count crashes of workers under a task, and give the task up

Callers saw workers vanish one after the other, with all work on them, as long as one job was waiting: a task that crashes each worker that starts it was started without limit.

Cause: the loss of a run with its worker counted for nothing. The limit of attempts counts ends listed as failed, and a worker that crashes lists none.

Change: the crash of a worker, that is an unannounced new incarnation, is counted for each task that may have run on it. It is attributed to a task if a run of its job, and of no other, was within a second of its start. A job fails after two attributed crashes on different workers (three on the same one), or after five of whatever cause. A worker that crashes twice under different jobs, none of them starting, is put into quarantine. A loss with a silent worker is decided when the worker is reached again. All counts are in the job's record, so the next leader continues them; explain names the reason.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -80,19 +80,22 @@
 	checkpointsSavedAt time.Duration // when jobs with new checkpoints were last marked for writing
 	stats              Stats
 	lostWork           map[LossCause]float64 // core-seconds
+	suspects           map[*task]struct{}    // tasks with crashes or unresolved losses
 }
 
 // Stats counts events of runs and tasks since the leader took over.
 type Stats struct {
 	Started, Refused, Preempted, Lost, Failed, Done, Moved int64
 	Crashed                                                int64 // workers
+	GivenUp                                                int64 // tasks that crash their workers
 }
 
 // NewCore returns a core without jobs and workers.
 func NewCore(config Config, now time.Duration) *Core {
 	return &Core{config: config, jobs: map[string]*job{}, workers: map[string]*worker{},
 		earlyCancels: map[string]bool{}, claims: map[*stepInstance]*claim{}, startedAt: now, catalog: &batch.Catalog{},
-		durations: map[string]*durationStats{}, lostWork: map[LossCause]float64{}}
+		durations: map[string]*durationStats{}, lostWork: map[LossCause]float64{},
+		suspects: map[*task]struct{}{}}
 }
 
 // Stats returns the number of events of runs and tasks by kind.
@@ -145,6 +148,9 @@
 		if t.active() {
 			c.worker(t.node, now).tasks[t] = struct{}{}
 		}
+		if t.crashes > 0 || len(t.unresolved) > 0 {
+			c.suspects[t] = struct{}{}
+		}
 	})
 	c.planNeeded = true
 	return nil
@@ -203,6 +209,7 @@
 	for _, w := range c.sortedWorkers {
 		c.checkWorker(w, now)
 	}
+	c.giveUpCrashingTasks(now, wall)
 	c.expireJobs(wall)
 	c.markCheckpointsDirty(now)
 	if c.planNeeded && now >= c.earliestPlan || now-c.plannedAt >= planInterval {
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -10,9 +11,30 @@
 	"masticcart.example/masticcart/internal/batch"
 )
 
-// startupTime is how long after its start a run counts as starting. A worker that crashes within it may have crashed
-// because of the run.
-const startupTime = time.Second
+// Attribution of crashes, see "Crashes of workers" in docs/platform.md.
+const (
+	// startupTime is how long after its start a run counts as starting. A worker that crashes within it may have crashed
+	// because of the run; a run that outlives it clears its task of the crashes that were attributed to it.
+	startupTime = time.Second
+	// maxAttributedCrashes is the number of crashes attributed to a task, on different workers, after which it is given
+	// up. maxAttributedOnOneWorker applies if all were on the same worker.
+	maxAttributedCrashes     = 2
+	maxAttributedOnOneWorker = 3
+	// isolateAfterCrashes is the number of crashes under a task, whatever their cause, after which it gets its workers
+	// for itself, so that another crash is conclusive.
+	isolateAfterCrashes = 3
+	// maxCrashes is the number of crashes under a task after which it is given up whatever their cause. The platform's
+	// rules allow two starts after the third crash.
+	maxCrashes = 5
+	// crashMemory is how long a crash speaks against a worker, and how long a run must last to clear its task of all
+	// crashes.
+	crashMemory = time.Minute
+	// massCrashWindow and massCrashShare define a mass crash: more than this share of the workers, and at least
+	// minMassCrash of them, stop answering within the window. Its cause is none of their runs.
+	massCrashWindow = time.Second
+	massCrashShare  = 1.0 / 3
+	minMassCrash    = 3
+)
 
 // endedIncarnation is an incarnation of a worker after which another one was announced.
 type endedIncarnation struct {
@@ -25,26 +47,77 @@
 // crash is the unannounced end of an incarnation of a worker.
 type crash struct {
 	endedIncarnation
-	node     string
-	victims  []*task // tasks with a run on the incarnation, by id
-	starting []*task // victims whose run had been started within startupTime
+	worker  *worker
+	victims []*task // tasks with a run on the incarnation, by id
+	// suspects are the victims whose run was starting, or whose start was not answered.
+	suspects []*task
+	mass     bool
+}
+
+// unresolvedLoss is a run that was lost with a silent worker, of which it is not known whether it has crashed. That is
+// known when the worker is reached again.
+type unresolvedLoss struct {
+	node        string
+	incarnation batch.Incarnation
+	attributed  bool // a crash would be attributed to the task
+	mass        bool
+}
+
+// unexplainedCrash is a crash of a worker on which no run was starting.
+type unexplainedCrash struct {
+	at      time.Duration
+	victims []*task
 }
 
 // newCrash returns the crash of an incarnation with the tasks of its lost runs that may have started.
-func newCrash(node string, ended endedIncarnation, lost []*task) *crash {
-	cr := &crash{endedIncarnation: ended, node: node}
+func (c *Core) newCrash(w *worker, ended endedIncarnation, lost []*task) *crash {
+	cr := &crash{endedIncarnation: ended, worker: w, mass: c.isMassCrash(ended.downSince)}
 	for _, t := range lost {
 		if t.incarnation != ended.incarnation || !t.mayHaveRun() {
 			continue
 		}
 		cr.victims = append(cr.victims, t)
-		if cr.downSince != never && t.confirmed && t.startSent && cr.downSince-t.startedAt <= startupTime {
-			cr.starting = append(cr.starting, t)
+		if !t.confirmed || ended.downSince != never && t.startSent && ended.downSince-t.startedAt <= startupTime {
+			cr.suspects = append(cr.suspects, t)
 		}
 	}
 	return cr
 }
 
+// mayHaveRun reports whether the present run of an active task may have started on its worker.
+func (t *task) mayHaveRun() bool { return t.confirmed || t.startUncertain || t.inherited }
+
+// isMassCrash reports whether many workers stopped answering at about the same time.
+func (c *Core) isMassCrash(downSince time.Duration) bool {
+	if downSince == never {
+		return false
+	}
+	n := 0
+	for _, w := range c.sortedWorkers {
+		if w.lastDownAt != never && (w.lastDownAt-downSince).Abs() <= massCrashWindow {
+			n++
+		}
+	}
+	return n >= minMassCrash && float64(n) > massCrashShare*float64(len(c.workers))
+}
+
+// attributedTo reports whether the crash speaks against a task: its run was certainly starting, and no run of another
+// job was.
+func (cr *crash) attributedTo(t *task) bool {
+	return t.confirmed && slices.Contains(cr.suspects, t) &&
+		!slices.ContainsFunc(cr.suspects, func(o *task) bool { return o.id.Job != t.id.Job })
+}
+
+// conclusiveFor reports whether nothing but the task or the worker itself can have caused the crash, and the worker has
+// not crashed without the task.
+func (cr *crash) conclusiveFor(t *task, now time.Duration) bool {
+	ofOtherJob := func(o *task) bool { return o.id.Job != t.id.Job }
+	return !slices.ContainsFunc(cr.victims, ofOtherJob) &&
+		!slices.ContainsFunc(cr.worker.unexplained, func(u unexplainedCrash) bool {
+			return now-u.at < crashMemory && !slices.ContainsFunc(u.victims, func(o *task) bool { return !ofOtherJob(o) })
+		})
+}
+
 // recordCrash records the crash of the incarnation before the current one, which took the lost runs with it. An
 // incarnation that had announced its end has not crashed.
 func (c *Core) recordCrash(w *worker, lost []*task, now time.Duration) {
@@ -56,11 +129,131 @@
 		return
 	}
 	c.stats.Crashed++
-	newCrash(w.node, *ended, lost).log(now)
+	cr := c.newCrash(w, *ended, lost)
+	for _, t := range cr.victims {
+		c.countCrash(t, w.node, cr.attributedTo(t), cr.mass)
+		t.crashConclusive = cr.conclusiveFor(t, now)
+	}
+	cr.log(now)
+	c.blameWorker(cr, now)
 }
 
-// mayHaveRun reports whether the present run of an active task may have started on its worker.
-func (t *task) mayHaveRun() bool { return t.confirmed || t.startUncertain || t.inherited }
+// countCrash counts a crash of a worker under a task.
+func (c *Core) countCrash(t *task, node string, attributed, mass bool) {
+	switch {
+	case attributed:
+		t.crashedOn = append(t.crashedOn, node)
+		t.avoid(node)
+	case mass:
+		return
+	}
+	t.crashes++
+	t.step.job().dirty = true
+	c.suspects[t] = struct{}{}
+}
+
+// blameWorker counts a crash against its worker if no run was starting there, and quarantines the worker if it has
+// crashed before under other jobs. Crashes under a task that has lost several workers do not count.
+func (c *Core) blameWorker(cr *crash, now time.Duration) {
+	w := cr.worker
+	w.unexplained = slices.DeleteFunc(w.unexplained, func(u unexplainedCrash) bool { return now-u.at >= crashMemory })
+	if len(cr.suspects) > 0 || cr.mass || cr.downSince == never || w.hasUnresolved {
+		return
+	}
+	w.unexplained = append(w.unexplained, unexplainedCrash{now, cr.victims})
+	jobs := map[string]bool{}
+	separate := 0
+	for _, u := range w.unexplained {
+		if slices.ContainsFunc(u.victims, func(t *task) bool { return t.crashes > 1 || jobs[t.id.Job] }) {
+			continue
+		}
+		for _, t := range u.victims {
+			jobs[t.id.Job] = true
+		}
+		separate++
+	}
+	if separate >= quarantineAfter {
+		c.quarantine(w, "crashes", now)
+	}
+}
+
+// deferCrash remembers the runs that are lost with a silent worker until it is known whether it has crashed.
+func (c *Core) deferCrash(w *worker) {
+	cr := c.newCrash(w, endedIncarnation{incarnation: w.incarnation(), downSince: w.downSince}, w.sortedTasks())
+	for _, t := range cr.victims {
+		t.unresolved = append(t.unresolved, unresolvedLoss{w.node, t.incarnation, cr.attributedTo(t), cr.mass})
+		c.suspects[t] = struct{}{}
+		w.hasUnresolved = true
+	}
+}
+
+// resolveLosses decides the unresolved losses on a worker that is reached: a new incarnation means that the one before
+// has crashed, unless it had announced its end.
+func (c *Core) resolveLosses(w *worker) {
+	if w.reached && !w.hasUnresolved {
+		return
+	}
+	w.hasUnresolved = false
+	announced := w.replaced != nil && w.replaced.announced
+	for t := range c.suspects {
+		t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedLoss) bool {
+			if u.node != w.node {
+				return false
+			}
+			if u.incarnation != w.info.Incarnation && !announced {
+				klog.InfoS("Worker had crashed", "node", w.node, "worker", u.incarnation, "task", t.id,
+					"attributed", u.attributed)
+				c.countCrash(t, w.node, u.attributed, u.mass)
+			}
+			t.step.job().dirty = true
+			return true
+		})
+	}
+}
+
+// clearSurvivor clears a task of crashes after its run has been seen to last.
+func (c *Core) clearSurvivor(t *task, lasted time.Duration) {
+	if lasted > startupTime && len(t.crashedOn) > 0 {
+		t.crashedOn, t.step.job().dirty = nil, true
+	}
+	if lasted > crashMemory && (t.crashes > 0 || len(t.unresolved) > 0) {
+		t.crashes, t.unresolved, t.step.job().dirty = 0, nil, true
+		delete(c.suspects, t)
+	}
+}
+
+// giveUpCrashingTasks fails the jobs of waiting tasks that have crashed too many workers.
+func (c *Core) giveUpCrashingTasks(now time.Duration, wall time.Time) {
+	var culprits []*task
+	for t := range c.suspects {
+		switch {
+		case t.phase == done || t.step.job().state.Final():
+			delete(c.suspects, t)
+		case t.phase == waiting && t.crashesWorkers():
+			culprits = append(culprits, t)
+		}
+	}
+	slices.SortFunc(culprits, func(a, b *task) int { return a.id.Compare(b.id) })
+	for _, t := range culprits {
+		j := t.step.job()
+		if j.state.Final() {
+			continue
+		}
+		c.stats.GivenUp++
+		j.failure = fmt.Sprintf("task %v was given up: %d workers crashed while they ran it, right after its start: %v",
+			t.id, t.crashes, t.crashedOn)
+		klog.InfoS("Task given up", "task", t.id, "run", t.run, "crashes", t.crashes, "attributed", t.crashedOn)
+		c.finish(j, batch.Failed, now, wall)
+	}
+}
+
+// crashesWorkers reports whether a task is held responsible for the crashes under it.
+func (t *task) crashesWorkers() bool {
+	attributed := len(t.crashedOn)
+	onOneWorker := attributed == 0 || !slices.ContainsFunc(t.crashedOn, func(n string) bool { return n != t.crashedOn[0] })
+	return attributed >= maxAttributedCrashes && !onOneWorker || attributed >= maxAttributedOnOneWorker ||
+		t.crashes > isolateAfterCrashes && t.crashConclusive || t.crashes >= maxCrashes
+}
 
 // log writes the facts by which a crash is attributed.
 func (cr *crash) log(now time.Duration) {
@@ -68,11 +261,12 @@
 	if cr.downSince != never {
 		downMS = (now - cr.downSince).Milliseconds()
 	}
-	klog.InfoS("Worker crashed", "node", cr.node, "worker", cr.incarnation, "downMs", downMS,
-		"runs", cr.describe(cr.victims, now), "starting", cr.describe(cr.starting, now))
+	klog.InfoS("Worker crashed", "node", cr.worker.node, "worker", cr.incarnation, "downMs", downMS, "mass", cr.mass,
+		"runs", cr.describe(cr.victims, now), "starting", cr.describe(cr.suspects, now))
 }
 
-// describe lists runs with the time in milliseconds that each had run before the worker went down.
+// describe lists runs with the time in milliseconds that each had run before the worker went down, and the number of
+// crashes under its task.
 func (cr *crash) describe(tasks []*task, now time.Duration) string {
 	end := now
 	if cr.downSince != never {
@@ -80,7 +274,7 @@
 	}
 	runs := make([]string, len(tasks))
 	for i, t := range tasks {
-		runs[i] = fmt.Sprintf("%v:%d/%dms", t.id, t.run, (end - t.startedAt).Milliseconds())
+		runs[i] = fmt.Sprintf("%v:%d/%dms/%d", t.id, t.run, (end - t.startedAt).Milliseconds(), t.crashes)
 	}
 	return strings.Join(runs, " ")
 }
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -46,18 +46,18 @@
 	return crashes, at
 }
 
-// maxCrashes is the number of workers that may crash under a task: the platform's rules allow two more starts after the
-// third crash.
-const maxCrashes = 5
+// allowedCrashes is the number of workers that may crash under a task: the platform's rules allow two more starts after
+// the third crash.
+const allowedCrashes = 5
 
 // Guards against a task that crashes one worker after the other without limit, since a worker that crashes lists no
 // failed run and the lost run counted for nothing.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
 	f := newFixture(t, "a", "b", "c", "d")
 	f.submit(crashingJob, 1, 0, batch.Step{Count: 2, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
-	crashes, _ := f.crashUnder(batch.TaskID{Job: crashingJob}, 0, maxCrashes+1)
-	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes > maxCrashes || crashes < 2 {
-		t.Fatalf("job is %s after %d crashes, want failed after 2 to %d", state, crashes, maxCrashes)
+	crashes, _ := f.crashUnder(batch.TaskID{Job: crashingJob}, 0, allowedCrashes+1)
+	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes > allowedCrashes || crashes < 2 {
+		t.Fatalf("job is %s after %d crashes, want failed after 2 to %d", state, crashes, allowedCrashes)
 	}
 }
 
@@ -66,15 +66,15 @@
 	f := newFixture(t, "a", "b", "c", "d")
 	f.submit(crashingJob, 1, 0, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
 	crashes, at := 0, time.Duration(0)
-	for range maxCrashes + 1 {
+	for range allowedCrashes + 1 {
 		var n int
 		n, at = f.crashUnder(batch.TaskID{Job: crashingJob}, at, 1)
 		crashes += n
 		f.takeOver(at)
 		f.reportEverywhere(at)
 	}
-	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes > maxCrashes {
-		t.Fatalf("job is %s after %d crashes, want failed after at most %d", state, crashes, maxCrashes)
+	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes > allowedCrashes {
+		t.Fatalf("job is %s after %d crashes, want failed after at most %d", state, crashes, allowedCrashes)
 	}
 }
 
@@ -90,7 +90,7 @@
 	for n := range 4 { // four jobs of which each task crashes its worker
 		id := batch.TaskID{Job: "00000000000000d" + string(rune('0'+n))}
 		f.submit(id.Job, 1, at, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 1}})
-		_, at = f.crashUnder(id, at, maxCrashes+1)
+		_, at = f.crashUnder(id, at, allowedCrashes+1)
 		if state := jobState(f.c, id.Job); state != batch.Failed {
 			t.Errorf("job %d is %s, want failed", n, state)
 		}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -17,7 +17,8 @@
 	Priority    int               `json:"priority"`
 	WaitedMS    int64             `json:"waited_ms"`
 	ObjectiveMS int64             `json:"objective_ms"`
-	Catalog     int64             `json:"catalog"` // version of the configuration
+	Catalog     int64             `json:"catalog"`          // version of the configuration
+	Reason      string            `json:"reason,omitempty"` // why the job has failed
 	Tasks       []TaskExplanation `json:"tasks"`
 }
 
@@ -29,6 +30,7 @@
 	Node     string `json:"node,omitempty"`
 	Percent  int    `json:"percent,omitempty"`
 	Failures int    `json:"fails,omitempty"`
+	Crashes  int    `json:"crashes,omitempty"` // of workers that ran the task
 	Reason   string `json:"reason,omitempty"`
 }
 
@@ -39,14 +41,15 @@
 		return nil, false
 	}
 	e := &Explanation{Job: id, State: j.state, Queue: j.Queue.Name, Team: j.Team, Priority: c.queue(j).Priority,
-		WaitedMS: j.age(now).Milliseconds(), ObjectiveMS: c.objective(j).Milliseconds(), Catalog: c.catalog.Version}
+		WaitedMS: j.age(now).Milliseconds(), ObjectiveMS: c.objective(j).Milliseconds(), Catalog: c.catalog.Version,
+		Reason: j.failure}
 	names := [...]string{waiting: "waiting", assigned: "assigned", stopping: "stopping"}
 	j.forEachTask(func(t *task) {
 		if t.phase == done {
 			return
 		}
 		x := TaskExplanation{Task: t.id.String(), Phase: names[t.phase], Run: t.run, Node: t.node, Percent: t.percent,
-			Failures: t.failures, Reason: t.reason}
+			Failures: t.failures, Crashes: t.crashes, Reason: t.reason}
 		switch {
 		case t.phase == assigned && t.confirmed:
 			x.Phase = "running"
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -49,7 +49,7 @@
 		{"runs_started", now.Started, m.lastStats.Started}, {"runs_refused", now.Refused, m.lastStats.Refused},
 		{"runs_preempted", now.Preempted, m.lastStats.Preempted}, {"runs_lost", now.Lost, m.lastStats.Lost},
 		{"runs_failed", now.Failed, m.lastStats.Failed}, {"tasks_done", now.Done, m.lastStats.Done},
-		{"workers_crashed", now.Crashed, m.lastStats.Crashed},
+		{"workers_crashed", now.Crashed, m.lastStats.Crashed}, {"tasks_given_up", now.GivenUp, m.lastStats.GivenUp},
 	} {
 		if x.now > x.before {
 			m.scope.Counter(x.name).Inc(x.now - x.before)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -53,6 +53,7 @@
 	Next        int                `json:"next,omitempty"`
 	Ended       int                `json:"ended,omitempty"`
 	Occurrences []recordOccurrence `json:"occ,omitempty"`
+	Failure     string             `json:"why,omitempty"` // why the job has failed
 }
 
 // recordOccurrence is the progress of an occurrence that is due and not completed.
@@ -80,15 +81,30 @@
 	StartMS int64 `json:"s,omitempty"`
 	// Avoided lists the nodes on which the task failed or straggled.
 	Avoided []string `json:"a,omitempty"`
+	// Crashes is the number of workers that crashed with a run of the task. CrashedOn lists the nodes of those that are
+	// attributed to the task, Unresolved the runs lost with workers that were still silent.
+	Crashes    int                `json:"k,omitempty"`
+	CrashedOn  []string           `json:"kn,omitempty"`
+	Unresolved []recordUnresolved `json:"u,omitempty"`
 	// Node, ID and StartedMS identify the incarnation of the worker that the run is assigned to.
 	Node      string `json:"n,omitempty"`
 	ID        string `json:"i,omitempty"`
 	StartedMS int64  `json:"b,omitempty"`
 }
 
+// recordUnresolved is an unresolvedLoss.
+type recordUnresolved struct {
+	Node       string `json:"n"`
+	ID         string `json:"i"`
+	StartedMS  int64  `json:"b"`
+	Attributed bool   `json:"k,omitempty"`
+	Mass       bool   `json:"m,omitempty"`
+}
+
 // record returns the job's progress as an encoded Record.
 func (j *job) record() ([]byte, error) {
-	r := Record{State: j.state, Started: j.started, Next: j.nextOccurrence, Ended: j.endedOccurrences}
+	r := Record{State: j.state, Started: j.started, Next: j.nextOccurrence, Ended: j.endedOccurrences,
+		Failure: j.failure}
 	if j.state.Final() {
 		r.FinishedMS = j.finishedAt.UnixMilli()
 	}
@@ -112,7 +128,11 @@
 					continue
 				}
 				rt := recordTask{Index: i, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
-					Avoided: slices.Sorted(maps.Keys(t.failedOn))}
+					Avoided: slices.Sorted(maps.Keys(t.failedOn)), Crashes: t.crashes, CrashedOn: t.crashedOn}
+				for _, u := range t.unresolved {
+					rt.Unresolved = append(rt.Unresolved, recordUnresolved{Node: u.node, ID: u.incarnation.ID,
+						StartedMS: u.incarnation.StartedMS, Attributed: u.attributed, Mass: u.mass})
+				}
 				if t.active() {
 					rt.Node, rt.ID, rt.StartedMS = t.node, t.incarnation.ID, t.incarnation.StartedMS
 					rt.StartMS = j.age(t.startedAt).Milliseconds()
@@ -134,7 +154,7 @@
 		return fmt.Errorf("record of job %s: %w", j.ID, err)
 	}
 	j.revision, j.state, j.started, j.nextOccurrence, j.endedOccurrences = revision, r.State, r.Started, r.Next, r.Ended
-	j.recordedState = r.State
+	j.recordedState, j.failure = r.State, r.Failure
 	if r.FinishedMS != 0 {
 		j.finishedAt = time.UnixMilli(r.FinishedMS)
 	}
@@ -171,6 +191,11 @@
 	for _, node := range r.Avoided {
 		t.avoid(node)
 	}
+	t.crashes, t.crashedOn = r.Crashes, r.CrashedOn
+	for _, u := range r.Unresolved {
+		t.unresolved = append(t.unresolved, unresolvedLoss{u.Node,
+			batch.Incarnation{ID: u.ID, StartedMS: u.StartedMS}, u.Attributed, u.Mass})
+	}
 	if r.Node != "" {
 		t.phase, t.node, t.incarnation = assigned, r.Node, batch.Incarnation{ID: r.ID, StartedMS: r.StartedMS}
 		j := t.step.job()
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -107,6 +108,7 @@
 	limit := c.queue(j).MaxAttempts
 	if !s.spec.LongRunning && limit > 0 && failures >= limit {
 		klog.InfoS("Attempts used up", "task", t.id, "run", t.run, "fails", failures, "limit", limit)
+		j.failure = fmt.Sprintf("task %v has failed %d times, the limit of the queue is %d", t.id, failures, limit)
 		c.finish(j, batch.Failed, now, wall)
 		return
 	}
@@ -249,6 +251,7 @@
 		reported[t] = true
 		c.confirmStart(t, now)
 		t.missedReports = 0
+		c.clearSurvivor(t, r.SentAt-t.startedAt)
 		if run.Checkpoint != "" && run.Checkpoint != t.checkpoint {
 			t.checkpoint, t.checkpointAt = run.Checkpoint, now
 			t.step.job().checkpointUnsaved = true
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -185,6 +185,15 @@
 	sentAt := s.now
 	repeat := func(pause time.Duration) { s.after(pause, func() { s.pollReport(w, term) }) }
 	s.after(s.latency(), func() {
+		if !w.alive && s.now >= w.partitionedUntil { // the agent finds that its worker does not answer
+			s.after(s.latency(), func() {
+				if s.term == term && s.core == c && s.now >= w.partitionedUntil {
+					c.ApplyReport(Report{Node: w.node, SentAt: sentAt, ReceivedAt: s.now}, s.wall())
+				}
+				repeat(100 * time.Millisecond)
+			})
+			return
+		}
 		if !w.alive || s.now < w.partitionedUntil || fence < w.fence || w.knownIncarnation == (batch.Incarnation{}) {
 			repeat(300 * time.Millisecond)
 			return
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -27,6 +27,9 @@
 	incarnation batch.Incarnation
 	failures    int
 	checkpoint  string
+	crashes     int              // workers that crashed with a run of the task, whatever the cause
+	crashedOn   []string         // nodes of the crashes that are attributed to the task
+	unresolved  []unresolvedLoss // runs lost with workers that are still silent
 
 	startSent      bool // this leader has sent the start order
 	inherited      bool // a previous leader recorded the assignment, and may have sent the order
@@ -45,13 +48,15 @@
 	stopAckedAt    time.Duration // when the worker acknowledged it; zero before
 	missedReports  int           // consecutive reports that do not list the confirmed run
 	failedOn       map[string]bool
-	runTime        time.Duration // of the successful run
-	preemptions    int           // number of stops in favor of a more urgent task
-	moves          int           // number of moves away from workers on which the run was slow or stalled
-	remote         bool          // away from its data, or spread over several racks
-	reason         string        // why the run is being stopped
-	stopCause      LossCause     // the same for the account of lost work
-	checkpointAt   time.Duration // when the last checkpoint of the run was reported; zero before
+	// crashConclusive means that only the task or the worker itself can have caused the last crash under the task.
+	crashConclusive bool
+	runTime         time.Duration // of the successful run
+	preemptions     int           // number of stops in favor of a more urgent task
+	moves           int           // number of moves away from workers on which the run was slow or stalled
+	remote          bool          // away from its data, or spread over several racks
+	reason          string        // why the run is being stopped
+	stopCause       LossCause     // the same for the account of lost work
+	checkpointAt    time.Duration // when the last checkpoint of the run was reported; zero before
 }
 
 // avoid marks a worker as one on which the task failed or straggled, so that others are preferred.
@@ -129,6 +134,7 @@
 	nextOccurrence   int // the first occurrence that has not become due
 	endedOccurrences int // number of completed occurrences
 	finishedAt       time.Time
+	failure          string        // why the job has failed
 	learnedAt        time.Duration // when this leader learned of the job
 	initialAge       time.Duration // time from the acceptance to learnedAt, by the wall clock
 	idleSince        time.Duration // since when the job could run but occupies no worker, or never
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -20,6 +20,7 @@
 	workerClockMS  int64         // the worker's clock in the last report
 	reportedAt     time.Duration // when the last report was received
 	downSince      time.Duration // since when the worker does not answer its agent, or never
+	lastDownAt     time.Duration // the last time that downSince was set, or never
 	reached        bool          // this leader has received a report of the current incarnation
 	hasLeft        bool
 	lastEnd        int64 // number of the last ended run that was applied
@@ -37,7 +38,10 @@
 	lastFailedJob    string // job of the last of them
 	quarantinedUntil time.Duration
 	// replaced is the incarnation before the current one until the first report of the current one.
-	replaced *endedIncarnation
+	replaced    *endedIncarnation
+	unexplained []unexplainedCrash // of the last crashMemory
+	// hasUnresolved means that runs of the worker were lost of which it is not known whether it has crashed.
+	hasUnresolved bool
 }
 
 // worker returns the state of a worker and creates it if necessary. A new one may still hold a lease of the previous
@@ -46,7 +50,8 @@
 	w := c.workers[node]
 	if w == nil {
 		w = &worker{node: node, tasks: map[*task]struct{}{}, leaseExpiresBy: c.startedAt + c.config.TakeoverWait,
-			orphanStops: map[string]time.Duration{}, downSince: never}
+			orphanStops: map[string]time.Duration{}, downSince: never,
+			lastDownAt: never}
 		w.leaseExpiresBy = max(w.leaseExpiresBy, now)
 		c.workers[node] = w
 		at, _ := slices.BinarySearchFunc(c.sortedWorkers, node, func(o *worker, node string) int {
@@ -174,7 +179,7 @@
 		if w.reached && w.downSince == never && r.SentAt >= w.reportSentAt {
 			klog.InfoS("Worker does not answer its agent", "node", w.node, "worker", w.incarnation(),
 				"tasks", len(w.tasks))
-			w.downSince = r.ReceivedAt
+			w.downSince, w.lastDownAt = r.ReceivedAt, r.ReceivedAt
 		}
 		return
 	}
@@ -193,6 +198,7 @@
 		// the clock of the previous incarnation may have given this one the longest lease.
 		w.leaseExpiresBy = r.ReceivedAt + maxLeaseTime(c.config.MaxLease)
 	}
+	c.resolveLosses(w)
 	w.reached, w.downSince, w.replaced = true, never, nil
 	w.reportSentAt, w.workerClockMS, w.reportedAt = r.SentAt, r.Runs.ClockMS, r.ReceivedAt
 	c.applyEnds(w, r.Runs.Ended, r.ReceivedAt, wall)
@@ -233,6 +239,7 @@
 	if now > w.leaseExpiresBy && len(w.tasks) > 0 {
 		klog.InfoS("Worker lost", "node", w.node, "worker", w.incarnation(), "tasks", len(w.tasks),
 			"silentMs", (now - w.reportedAt).Milliseconds(), "heard", w.reached)
+		c.deferCrash(w)
 		c.markTasksLost(w, "lease expired", now)
 	}
 	for _, t := range w.sortedTasks() {
