scheduler: no tasks for workers that do not answer their agent

Callers waited seconds longer for tasks that were placed on a worker after it had crashed: they were lost with it when it came back.

Cause: a worker counted as usable until its last report was 2.5 s old, although its agent had reported within milliseconds that it does not answer. Starts that were being recorded at that moment were sent as well. The leader's lines show runs with a negative age at the crash, up to seven of them at one crash, which also blurred its attribution.

Change: such a worker gets no tasks until it answers again. Starts whose record was committed meanwhile are withdrawn, and unanswered starts are not sent again before it answers.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -338,10 +338,16 @@
 	c.ackRecordedEnds()
 	orders := b.orders[:0]
 	for _, o := range b.orders {
-		if t := c.currentTask(o); t != nil && t.phase == assigned {
-			t.assignedAt, t.startSent = now, true
-			orders = append(orders, o)
+		t := c.currentTask(o)
+		if t == nil || t.phase != assigned {
+			continue
+		}
+		if w := c.workers[t.node]; w.downSince != never {
+			c.withdrawStart(t, "worker does not answer", now)
+			continue
 		}
+		t.assignedAt, t.startSent = now, true
+		orders = append(orders, o)
 	}
 	return orders
 }
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -107,3 +107,27 @@
 		}
 	}
 }
+
+// Guards against tasks that are placed on a crashed worker until its last report is too old, and are lost with it.
+func TestWorkerThatDoesNotAnswerItsAgentGetsNoTasks(t *testing.T) {
+	f := newFixture(t, "a")
+	down := 100 * time.Millisecond
+	step := batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 1}}
+	f.submit(crashingJob, 1, 0, step)
+	f.c.Tick(0, f.wall) // the assignment is recorded while the worker stops answering
+	b, err := f.c.NextBatch(maxChangesPerTxn)
+	if err != nil || b == nil {
+		t.Fatal(b, err)
+	}
+	f.c.ApplyReport(Report{Node: "a", SentAt: down, ReceivedAt: down}, f.wall)
+	if orders := f.c.ApplyCommit(b, 1, down); len(orders) > 0 {
+		t.Errorf("sent %v to a worker that does not answer", orders)
+	}
+	if orders := f.planAndCommit(2 * down); len(orders) > 0 {
+		t.Errorf("placed %v on a worker that does not answer", orders)
+	}
+	f.report("a", 3*down)
+	if orders := f.planAndCommit(3 * down); len(orders) != 1 {
+		t.Errorf("sent %v after the worker answered again, want one start", orders)
+	}
+}
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// withdrawStart requeues a task whose assignment is recorded and whose start order has not been sent.
+func (c *Core) withdrawStart(t *task, reason string, now time.Duration) {
+	klog.InfoS("Start withdrawn", "task", t.id, "run", t.run, "node", t.node, "reason", reason)
+	c.requeue(t, LossOrder, now)
+	c.stopGang(t, LossMemberLost, "member not started: "+reason, now)
+}
+
 // requeue handles the end of a run without success: the task waits to be placed again unless its job is in a final
 // state. cause is why its work is lost, unless the run was being stopped for another reason.
 func (c *Core) requeue(t *task, cause LossCause, now time.Duration) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -90,8 +90,8 @@
 
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Duration) bool {
-	return w.info != nil && !w.info.Leaving && !w.hasLeft && w.reached && now-w.reportedAt <= maxReportAge &&
-		now >= w.quarantinedUntil
+	return w.info != nil && !w.info.Leaving && !w.hasLeft && w.reached && w.downSince == never &&
+		now-w.reportedAt <= maxReportAge && now >= w.quarantinedUntil
 }
 
 // GrantLease extends the lease of a worker's incarnation and returns its end in milliseconds on the worker's clock. It
@@ -180,6 +180,7 @@
 			klog.InfoS("Worker does not answer its agent", "node", w.node, "worker", w.incarnation(),
 				"tasks", len(w.tasks))
 			w.downSince, w.lastDownAt = r.ReceivedAt, r.ReceivedAt
+			c.planNeeded = true
 		}
 		return
 	}
@@ -199,6 +200,7 @@
 		w.leaseExpiresBy = r.ReceivedAt + maxLeaseTime(c.config.MaxLease)
 	}
 	c.resolveLosses(w)
+	c.planNeeded = c.planNeeded || w.downSince != never
 	w.reached, w.downSince, w.replaced = true, never, nil
 	w.reportSentAt, w.workerClockMS, w.reportedAt = r.SentAt, r.Runs.ClockMS, r.ReceivedAt
 	c.applyEnds(w, r.Runs.Ended, r.ReceivedAt, wall)
@@ -246,7 +248,7 @@
 		switch {
 		case t.phase == stopping && now-t.stopSentAt >= stopResendInterval && now-w.reportedAt <= maxReportAge:
 			c.queueStop(t, now)
-		case t.phase == assigned && !t.confirmed && t.resendAt != 0 && now >= t.resendAt:
+		case t.phase == assigned && !t.confirmed && t.resendAt != 0 && now >= t.resendAt && w.downSince == never:
 			t.resendAt = 0
 			c.outbox = append(c.outbox, c.startOrder(t)) // starting the same run twice is idempotent
 		}
