scheduler: tasks suspected of crashes start apart, and alone after three

Callers lost jobs that could have run: after five crashes of its workers a job was given up although each time a task of another job had been starting there.

Cause: after a crash the tasks of its worker were placed together again, so the next crash told as little as the first.

Change: a task that was starting when a worker crashed starts where no other run is starting, one at a time on a worker, where the least work would be lost, until one of its runs outlives its start. Neither holds back a job that has to start because the fleet is idle. Suspicion is in the job's record.

--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -19,12 +19,16 @@
 
 // consume subtracts the capacity of n tasks from what is free on a worker. A negative n adds it.
 func (p *planner) consume(node string, need batch.Resources, n int) {
-	free, ok := p.free[node]
+	from := p.free
+	if _, ok := p.withheld[node]; ok {
+		from = p.withheld
+	}
+	free, ok := from[node]
 	if !ok {
 		return
 	}
 	taken := need.Times(n)
-	p.free[node] = free.Minus(taken)
+	from[node] = free.Minus(taken)
 	capacity := p.capacities[p.core.workers[node].info.Service]
 	capacity.free = capacity.free.Minus(taken)
 }
@@ -42,5 +46,5 @@
 func shapeOf(u unit, n int) (sh shape, ok bool) {
 	s := u.step.spec
 	return shape{service: u.queue.Service, label: s.RequiredLabel, dataRack: s.DataRack, need: s.Reserved(), tasks: n,
-		gang: s.Gang, oneRack: s.OneRack}, s.MaxPerWorker == 0 && !u.lastAttempt
+		gang: s.Gang, oneRack: s.OneRack}, s.MaxPerWorker == 0 && !u.lastAttempt && !u.suspect && !u.isolated
 }
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -133,6 +133,7 @@
 	for _, t := range cr.victims {
 		c.countCrash(t, w.node, cr.attributedTo(t), cr.mass)
 		t.crashConclusive = cr.conclusiveFor(t, now)
+		t.suspected = t.suspected || slices.Contains(cr.suspects, t)
 	}
 	cr.log(now)
 	c.blameWorker(cr, now)
@@ -213,8 +214,8 @@
 
 // clearSurvivor clears a task of crashes after its run has been seen to last.
 func (c *Core) clearSurvivor(t *task, lasted time.Duration) {
-	if lasted > startupTime && len(t.crashedOn) > 0 {
-		t.crashedOn, t.step.job().dirty = nil, true
+	if lasted > startupTime && t.suspect() {
+		t.crashedOn, t.suspected, t.step.job().dirty = nil, false, true
 	}
 	if lasted > crashMemory && (t.crashes > 0 || len(t.unresolved) > 0) {
 		t.crashes, t.unresolved, t.step.job().dirty = 0, nil, true
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -131,3 +131,64 @@
 		t.Errorf("sent %v after the worker answered again, want one start", orders)
 	}
 }
+
+// Guards against crashes that cannot be attributed, since tasks that were starting when a worker crashed start together
+// again, and against the failure of a job whose tasks started beside one that crashes its workers.
+func TestSuspectsStartApart(t *testing.T) {
+	const innocentJob = "00000000000000c2"
+	f := newFixture(t, "a", "b", "c")
+	step := batch.Step{Count: 1, Estimate: 10 * time.Second, Need: batch.Resources{Accelerators: 1}}
+	f.submit(crashingJob, 1, 0, step)
+	f.submit(innocentJob, 1, 0, step)
+	f.planAndCommit(0)
+	culprit := f.c.jobs[crashingJob].findTask(batch.TaskID{Job: crashingJob})
+	innocent := f.c.jobs[innocentJob].findTask(batch.TaskID{Job: innocentJob})
+	if culprit.node != innocent.node {
+		t.Fatalf("the tasks start on %s and %s, want one worker", culprit.node, innocent.node)
+	}
+	at := f.crash(culprit.node, 10*time.Millisecond)
+	f.planAndCommit(at)
+	if culprit.node == innocent.node || culprit.node == "" || innocent.node == "" {
+		t.Fatalf("after the crash the tasks start on %q and %q, want different workers", culprit.node, innocent.node)
+	}
+	crashes, at := f.crashUnder(culprit.id, at, allowedCrashes)
+	f.reportEverywhere(at)
+	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes != maxAttributedCrashes {
+		t.Errorf("job is %s after %d more crashes, want failed after %d", state, crashes, maxAttributedCrashes)
+	}
+	if state := jobState(f.c, innocentJob); state.Final() {
+		t.Errorf("the other job is %s", state)
+	}
+	if innocent.suspect() {
+		t.Error("the other task is still suspect after its start")
+	}
+}
+
+// Guards against an isolated task that shares its worker, so that another crash says nothing, or that never starts
+// because other tasks take each worker first.
+func TestTaskWithManyCrashesGetsAWorkerForItself(t *testing.T) {
+	const smallJob = "00000000000000c3"
+	f := newFixture(t, "a", "b")
+	f.submit(smallJob, 1, 0, batch.Step{Count: 4, Estimate: 5 * time.Second, Need: batch.Resources{Accelerators: 4}})
+	f.planAndCommit(0)
+	f.reportEverywhere(0)
+	f.submit(crashingJob, 1, 0, batch.Step{Count: 1, Estimate: 5 * time.Second, Need: batch.Resources{Accelerators: 1}})
+	isolated := f.c.jobs[crashingJob].findTask(batch.TaskID{Job: crashingJob})
+	isolated.crashes = isolateAfterCrashes
+	at := time.Duration(0)
+	for n := range 4 { // small tasks end one by one, and others wait to take their place
+		at += time.Second
+		f.reportEverywhere(at)
+		f.submit("00000000000000e"+string(rune('0'+n)), 1, at,
+			batch.Step{Count: 1, Estimate: 5 * time.Second, Need: batch.Resources{Accelerators: 4}})
+		f.endRun(batch.TaskID{Job: smallJob, Index: n}, int64(n+1), at, batch.OutcomeDone)
+		f.planAndCommit(at)
+		if isolated.phase == assigned {
+			if others := len(f.c.workers[isolated.node].tasks) - 1; others > 0 {
+				t.Fatalf("the task starts beside %d others", others)
+			}
+			return
+		}
+	}
+	t.Fatal("the task has not started although all tasks of the first job are done")
+}
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -18,6 +18,10 @@
 	if n <= 0 {
 		return
 	}
+	if u.isolated {
+		p.emptyWorkersFor(u, n)
+		return
+	}
 	if u.queue.Priority == 0 {
 		if _, nodes := p.earliestFit(u, n, p.now+maxWaitForRelease); nodes != nil {
 			return
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -68,5 +68,6 @@
 	if capacity == nil || capacity.free.CoreEquivalents() <= (1-mostlyIdleShare)*capacity.total.CoreEquivalents() {
 		return false
 	}
-	return pack(p.candidates(u, p.free, false), u.step.spec.Reserved(), idleFitFactor*n) != nil
+	u.isolated, u.apartUntil = false, p.now
+	return pack(p.candidates(u, p.allFree(), false), u.step.spec.Reserved(), idleFitFactor*n) != nil
 }
--- a/internal/scheduler/packing.go
+++ b/internal/scheduler/packing.go
@@ -15,10 +15,12 @@
 	free     batch.Resources
 	fitCount int
 	avoided  bool // a task of the step failed there
+	// workAtRisk is the work in core-seconds that a crash of the worker would lose. It is set for suspect units only.
+	workAtRisk float64
 }
 
-// compare orders candidates for filling: those without failures of the step first, then the one with the least capacity
-// left over, so that large free blocks are preserved.
+// compare orders candidates for filling: those without failures of the step first, then those with the least work at
+// risk, then the one with the least capacity left over, so that large free blocks are preserved.
 func (a candidate) compare(b candidate, need batch.Resources) int {
 	if a.avoided != b.avoided {
 		if a.avoided {
@@ -26,6 +28,9 @@
 		}
 		return -1
 	}
+	if c := cmp.Compare(a.workAtRisk, b.workAtRisk); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(freeAfterOneTask(a, need), freeAfterOneTask(b, need)); c != 0 {
 		return c
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -35,10 +35,12 @@
 // newPlanner returns a planner with the free capacity of all usable workers.
 func (c *Core) newPlanner(now time.Duration) *planner {
 	p := &planner{core: c, now: now, free: map[string]batch.Resources{}, capacities: map[string]*serviceCapacity{},
-		reservedFrom: map[string]time.Duration{}, noFit: map[shape]time.Duration{}, fitsNear: map[shape]bool{}}
+		reservedFrom: map[string]time.Duration{}, noFit: map[shape]time.Duration{}, fitsNear: map[shape]bool{},
+		withheld: map[string]batch.Resources{}, startingOn: map[string]bool{}}
 	for _, w := range c.sortedWorkers {
 		if w.usable(now) {
 			p.addWorker(w)
+			p.noteStarts(w)
 		}
 	}
 	return p
@@ -56,7 +58,9 @@
 	noFit            map[shape]time.Duration
 	fitsNear         map[shape]bool // whether empty workers near the data, or in one rack, could hold a shape
 	reservationCount int
-	releases         []capacityRelease // nil until upcomingReleases is called
+	releases         []capacityRelease          // nil until upcomingReleases is called
+	withheld         map[string]batch.Resources // free capacity of workers that are kept for suspects
+	startingOn       map[string]bool            // workers on which runs are starting
 	// headroom is the number of accelerators that less urgent units leave free while they can wait.
 	headroom float64
 }
@@ -108,7 +112,7 @@
 		if avoidFailed && u.failedOn[w.node] {
 			continue // a faulty worker would fail the last attempt, and with it the job
 		}
-		if !ok || w.info.Service != u.queue.Service || !w.info.HasLabel(s.spec.RequiredLabel) {
+		if !ok || p.keepsApart(u, w) || w.info.Service != u.queue.Service || !w.info.HasLabel(s.spec.RequiredLabel) {
 			continue
 		}
 		if from, ok := p.reservedFrom[w.node]; ok && backfill && end > from {
@@ -122,6 +126,9 @@
 			continue
 		}
 		cand.avoided = u.failedOn[w.node]
+		if u.suspect {
+			cand.workAtRisk = p.workAtRisk(w)
+		}
 		cs = append(cs, cand)
 	}
 	return cs
@@ -163,8 +170,8 @@
 // chooseNodes returns workers for n tasks of the unit within the free capacity, or nil.
 func (p *planner) chooseNodes(u unit, n int) []string {
 	if p.mustStartNow(u, n) {
-		u.lastAttempt = false
-		cs := p.candidates(u, p.free, false)
+		u.lastAttempt, u.isolated, u.apartUntil = false, false, p.now
+		cs := p.candidates(u, p.allFree(), false)
 		if nodes := p.chooseFrom(u, n, cs); nodes != nil {
 			return nodes
 		}
@@ -240,6 +247,7 @@
 			empty[w.node] = w.info.Capacity
 		}
 	}
+	u.suspect, u.isolated = false, false
 	cs := p.candidates(u, empty, false)
 	fits := false
 	if s.Gang && s.OneRack {
@@ -287,6 +295,7 @@
 	}
 	j.dirty = true
 	c.consumeClaim(s, nodes)
+	p.noteAssignment(u, nodes)
 }
 
 // isRemote reports whether tasks of a step run slower on these workers than near their data or within one rack. Workers
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -85,6 +85,7 @@
 	// attributed to the task, Unresolved the runs lost with workers that were still silent.
 	Crashes    int                `json:"k,omitempty"`
 	CrashedOn  []string           `json:"kn,omitempty"`
+	Suspected  bool               `json:"ks,omitempty"` // a run was starting when a worker crashed
 	Unresolved []recordUnresolved `json:"u,omitempty"`
 	// Node, ID and StartedMS identify the incarnation of the worker that the run is assigned to.
 	Node      string `json:"n,omitempty"`
@@ -128,7 +129,8 @@
 					continue
 				}
 				rt := recordTask{Index: i, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
-					Avoided: slices.Sorted(maps.Keys(t.failedOn)), Crashes: t.crashes, CrashedOn: t.crashedOn}
+					Avoided: slices.Sorted(maps.Keys(t.failedOn)), Crashes: t.crashes, CrashedOn: t.crashedOn,
+					Suspected: t.suspected}
 				for _, u := range t.unresolved {
 					rt.Unresolved = append(rt.Unresolved, recordUnresolved{Node: u.node, ID: u.incarnation.ID,
 						StartedMS: u.incarnation.StartedMS, Attributed: u.attributed, Mass: u.mass})
@@ -191,7 +193,7 @@
 	for _, node := range r.Avoided {
 		t.avoid(node)
 	}
-	t.crashes, t.crashedOn = r.Crashes, r.CrashedOn
+	t.crashes, t.crashedOn, t.suspected, t.retryAt = r.Crashes, r.CrashedOn, r.Suspected, now
 	for _, u := range r.Unresolved {
 		t.unresolved = append(t.unresolved, unresolvedLoss{u.Node,
 			batch.Incarnation{ID: u.ID, StartedMS: u.StartedMS}, u.Attributed, u.Mass})
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -29,6 +29,7 @@
 	checkpoint  string
 	crashes     int              // workers that crashed with a run of the task, whatever the cause
 	crashedOn   []string         // nodes of the crashes that are attributed to the task
+	suspected   bool             // the run was starting when a worker crashed, and no run has outlived its start since
 	unresolved  []unresolvedLoss // runs lost with workers that are still silent
 
 	startSent      bool // this leader has sent the start order
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -18,6 +18,9 @@
 	guaranteed  bool            // within the guarantee of its team, so that it has to start in time
 	failedOn    map[string]bool // workers on which a task of the unit failed; nil if none
 	lastAttempt bool            // one more failure ends the job
+	suspect     bool            // one of the tasks was starting when a worker crashed
+	apartUntil  time.Duration   // until when a suspect unit waits for workers on which no other run is starting
+	isolated    bool            // the tasks do not share their workers with others
 }
 
 // units returns the units that can be placed, the most urgent first.
@@ -66,31 +69,44 @@
 	return 1
 }
 
-// appendUnit appends what can be placed of a step. Tasks on their last attempt form a unit of their own, since they
-// avoid workers on which they have failed.
+// appendUnit appends what can be placed of a step. A gang is one unit. Other tasks form separate units if they are on
+// their last attempt, since they avoid workers on which they have failed, or are suspect or isolated.
 func (c *Core) appendUnit(us []unit, s *stepInstance, now time.Duration) []unit {
-	var regular, last []*task
+	if !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == waiting && t.retryAt <= now }) {
+		return us
+	}
 	q := c.queue(s.job())
+	base := unit{step: s, queue: q, latestStart: c.deadline(s, now) - c.longestChain(s),
+		guaranteed: q.Priority == 0 && c.withinGuarantee(s.job())}
+	if s.spec.Gang {
+		base.lastAttempt = isLastAttempt(q, s.gangFailures)
+	}
+	var groups []unit
 	for _, t := range s.tasks {
-		switch {
-		case t.phase != waiting || t.retryAt > now:
-		case !s.spec.Gang && isLastAttempt(q, t.failures):
-			last = append(last, t)
-		default:
-			regular = append(regular, t)
+		if t.phase != waiting || t.retryAt > now {
+			continue
 		}
+		u := base
+		u.suspect, u.isolated, u.apartUntil = t.suspect(), t.isolated(), t.retryAt+maxSeparationWait
+		u.lastAttempt = u.lastAttempt || !s.spec.Gang && isLastAttempt(q, t.failures)
+		i := slices.IndexFunc(groups, func(g unit) bool {
+			return s.spec.Gang || g.lastAttempt == u.lastAttempt && g.suspect == u.suspect && g.isolated == u.isolated
+		})
+		if i < 0 {
+			i = len(groups)
+			groups = append(groups, u)
+		}
+		g := &groups[i]
+		g.tasks, g.apartUntil = append(g.tasks, t), max(g.apartUntil, u.apartUntil)
+		g.suspect, g.isolated = g.suspect || u.suspect, g.isolated || u.isolated
 	}
-	if s.spec.Gang && len(regular) < s.spec.Count {
+	if s.spec.Gang && (len(groups) == 0 || len(groups[0].tasks) < s.spec.Count) {
 		return us
 	}
-	u := unit{step: s, queue: q, latestStart: c.deadline(s, now) - c.longestChain(s),
-		guaranteed: q.Priority == 0 && c.withinGuarantee(s.job())}
-	for _, tasks := range [][]*task{last, regular} {
-		if len(tasks) > 0 {
-			u.tasks, u.failedOn = tasks, failedOn(tasks)
-			u.lastAttempt = s.spec.Gang && isLastAttempt(q, s.gangFailures) || len(last) > 0 && tasks[0] == last[0]
-			us = append(us, u)
-		}
+	slices.SortStableFunc(groups, func(a, b unit) int { return -compareBool(a.lastAttempt, b.lastAttempt) })
+	for _, g := range groups {
+		g.failedOn = failedOn(g.tasks)
+		us = append(us, g)
 	}
 	return us
 }
