scheduler, relay: follow a worker's capacity while it shrinks and grows

What callers could see: on workers that do not enforce their capacity, a start on one that had shrunk would overload it.

Cause: the plan uses the announced capacity, but starts are sent later: after their record was written, which takes as long as the store is away, again if they were not answered, and by the next leader. Runs that a worker lists although they are assigned elsewhere did not count. An agent passed a new capacity on with its next report only, up to 1.5 s later. And a job whose workers near the data had shrunk was placed far from it at once.

Change: a start that no longer fits is withdrawn, a gang as a whole; one that may have been sent is stopped instead of repeated. Orphaned runs occupy capacity. Nothing fits a worker that is overcommitted in any resource. An agent reports a changed capacity at once, and a wait that was cut short for that does not make its worker look crashed. Whether a task could ever run near its data is judged by the largest capacity of the workers.

TestCapacityChangeIsReportedAtOnce is new.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -37,17 +37,26 @@
 	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
 }
 
-// FitCount returns how many tasks that need r fit into free, at most maxFitCount.
+// FitCount returns how many tasks that need r fit into free, at most maxFitCount. None fits if a field of free is
+// negative.
 func (r Resources) FitCount(free Resources) int {
 	n := maxFitCount
 	for _, x := range [...][2]int{
 		{r.MilliCPU, free.MilliCPU}, {r.MemoryMB, free.MemoryMB}, {r.Accelerators, free.Accelerators},
 	} {
-		if x[0] > 0 {
+		switch {
+		case x[1] < 0:
+			return 0
+		case x[0] > 0:
 			n = min(n, x[1]/x[0])
 		}
 	}
-	return max(n, 0)
+	return n
+}
+
+// Max returns the larger value of each field of r and o.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
 }
 
 // maxFitCount limits the result of FitCount for tasks that need nothing.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/jsonrpc2"
 	"k8s.io/klog/v2"
 
@@ -43,7 +45,7 @@
 	term          int64             // the newest term seen
 	worker        *batch.Worker     // the last announcement; nil before the first one
 	deregistered  batch.Incarnation // the last incarnation that deregistered
-	workerChanged chan struct{}     // closed and replaced when the worker restarts, starts to leave or deregisters
+	workerChanged chan struct{}     // closed and replaced when the worker restarts, leaves or changes its capacity
 }
 
 // New returns the relay of the worker behind the driver.
@@ -72,9 +74,10 @@
 				"known", known.Incarnation, "knownSequence", known.Sequence)
 			return
 		}
-		if w.Incarnation != known.Incarnation || w.Leaving != known.Leaving {
-			klog.InfoS("Worker incarnation or leaving state changed", "worker", w.Incarnation, "before", known.Incarnation,
-				"leaving", w.Leaving, "sequence", w.Sequence)
+		if w.Incarnation != known.Incarnation || w.Leaving != known.Leaving || w.Capacity != known.Capacity {
+			klog.InfoS("Worker incarnation, leaving state or capacity changed", "worker", w.Incarnation,
+				"before", known.Incarnation, "leaving", w.Leaving, "capacity", w.Capacity, "capacityBefore", known.Capacity,
+				"sequence", w.Sequence)
 			r.notifyWaiters()
 		}
 	} else {
@@ -140,9 +143,11 @@
 	}
 	runs, err := r.syncRuns(ctx, req, incarnation, wait, workerChanged)
 	response := SyncResponse{}
-	if err != nil {
+	switch {
+	case errors.Is(err, errWorkerChanged): // the announcement is the response
+	case err != nil:
 		response.Error = err.Error()
-	} else {
+	default:
 		response.Runs = &runs
 	}
 	r.mu.Lock()
@@ -156,11 +161,16 @@
 	return response, nil
 }
 
-// syncRuns asks the worker for its runs. The wait ends early when workerChanged is closed.
+// errWorkerChanged means that the wait for a run to end was cut short by an announcement.
+var errWorkerChanged = merry.Sentinel("relay: the worker has announced a change")
+
+// syncRuns asks the worker for its runs. The wait ends early, with errWorkerChanged, when workerChanged is closed.
 func (r *Relay) syncRuns(ctx context.Context, req SyncRequest, incarnation batch.Incarnation, wait time.Duration,
 	workerChanged <-chan struct{}) (batch.Runs, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+syncRunsMargin)
-	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, wait+syncRunsMargin)
+	defer cancelTimeout()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if incarnation != req.Incarnation {
 		return r.driver.SyncRuns(ctx, incarnation, req.Fence, 0, 0, 0)
 	}
@@ -170,12 +180,15 @@
 		go func() {
 			select {
 			case <-workerChanged:
-				cancel()
+				cancel(errWorkerChanged)
 			case <-stop:
 			}
 		}()
 	}
 	runs, err := r.driver.SyncRuns(ctx, incarnation, req.Fence, req.AckedThrough, req.LeaseUntilMS, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errWorkerChanged) {
+		return runs, errWorkerChanged
+	}
 	if err == nil && runs.Incarnation != incarnation {
 		klog.InfoS("Worker answered as another incarnation", "worker", runs.Incarnation, "known", incarnation)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,11 +15,19 @@
 	ackedThrough int64
 	lease        int64
 	starts       int
+	waiting      chan struct{} // closed when SyncRuns waits for a run to end; nil if nobody waits for that
 }
 
-func (d *fakeDriver) SyncRuns(_ context.Context, _ batch.Incarnation, _, ackedThrough, lease int64, _ time.Duration) (
-	batch.Runs, error) {
+func (d *fakeDriver) SyncRuns(ctx context.Context, _ batch.Incarnation, _, ackedThrough, lease int64,
+	wait time.Duration) (batch.Runs, error) {
 	d.ackedThrough, d.lease = ackedThrough, lease
+	if wait > 0 {
+		if d.waiting != nil {
+			close(d.waiting)
+		}
+		<-ctx.Done()
+		return batch.Runs{}, ctx.Err()
+	}
 	return batch.Runs{Incarnation: d.incarnation, ClockMS: 5}, nil
 }
 
@@ -117,3 +125,24 @@
 		t.Errorf("%+v", w)
 	}
 }
+
+// Guards against a leader that learns of a smaller capacity only with the next report, up to 1.5 s later, and against one
+// that takes a worker as crashed because it has announced a change.
+func TestCapacityChangeIsReportedAtOnce(t *testing.T) {
+	d := &fakeDriver{incarnation: incarnation, waiting: make(chan struct{})}
+	r := New(d)
+	r.Announce(batch.Worker{Incarnation: incarnation, Sequence: 1, Capacity: batch.Resources{Accelerators: 8}})
+	conn := connect(t, r)
+	go func() {
+		<-d.waiting
+		r.Announce(batch.Worker{Incarnation: incarnation, Sequence: 2, Capacity: batch.Resources{Accelerators: 2}})
+	}()
+	var response SyncResponse
+	request := SyncRequest{Term: 1, Incarnation: incarnation, Sequence: 1, WaitMS: 60_000}
+	if err := conn.Call(context.Background(), MethodSync, request, &response); err != nil {
+		t.Fatal(err)
+	}
+	if response.Worker == nil || response.Worker.Capacity.Accelerators != 2 || response.Error != "" {
+		t.Errorf("response %+v, want the new capacity and no error", response)
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -336,18 +336,25 @@
 	}
 	b.committed = true
 	c.ackRecordedEnds()
-	orders := b.orders[:0]
-	for _, o := range b.orders {
-		t := c.currentTask(o)
-		if t == nil || t.phase != assigned {
-			continue
+	return c.sendableOrders(b.orders, now)
+}
+
+// sendableOrders returns the start orders that may be sent now that their assignments are recorded. Starts that their
+// workers cannot take any more are withdrawn.
+func (c *Core) sendableOrders(recorded []Order, now time.Duration) []Order {
+	for _, o := range recorded {
+		if t := c.currentTask(o); t != nil && t.phase == assigned {
+			if reason := c.workers[t.node].rejectReason(t); reason != "" {
+				c.withdrawStart(t, reason, now)
+			}
 		}
-		if w := c.workers[t.node]; w.downSince != never {
-			c.withdrawStart(t, "worker does not answer", now)
-			continue
+	}
+	orders := recorded[:0]
+	for _, o := range recorded {
+		if t := c.currentTask(o); t != nil && t.phase == assigned {
+			t.assignedAt, t.startSent = now, true
+			orders = append(orders, o)
 		}
-		t.assignedAt, t.startSent = now, true
-		orders = append(orders, o)
 	}
 	return orders
 }
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -15,7 +15,7 @@
 // crash lets a worker stop answering its agent, and its next incarnation answer after restartTime. Other workers keep
 // reporting their runs. It returns the time of the next incarnation's first report.
 func (f *fixture) crash(node string, at time.Duration) time.Duration {
-	f.c.ApplyReport(Report{Node: node, SentAt: at, ReceivedAt: at}, f.wall)
+	f.c.ApplyReport(Report{Node: node, SentAt: at, ReceivedAt: at, WorkerDown: true}, f.wall)
 	back := at + restartTime
 	for _, n := range f.nodes {
 		if n != node {
@@ -119,7 +119,7 @@
 	if err != nil || b == nil {
 		t.Fatal(b, err)
 	}
-	f.c.ApplyReport(Report{Node: "a", SentAt: down, ReceivedAt: down}, f.wall)
+	f.c.ApplyReport(Report{Node: "a", SentAt: down, ReceivedAt: down, WorkerDown: true}, f.wall)
 	if orders := f.c.ApplyCommit(b, 1, down); len(orders) > 0 {
 		t.Errorf("sent %v to a worker that does not answer", orders)
 	}
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -36,11 +36,13 @@
 	records map[string][]byte // by job
 	// incarnations counts the restarts of the workers.
 	incarnations map[string]int64
+	// accelerators holds the capacity of workers that do not have fixtureAccelerators.
+	accelerators map[string]int
 }
 
 func newFixture(t *testing.T, nodes ...string) *fixture {
 	f := &fixture{t: t, nodes: nodes, c: NewCore(simConfig, 0), wall: time.Unix(1_800_000_000, 0), records: map[string][]byte{},
-		incarnations: map[string]int64{}}
+		incarnations: map[string]int64{}, accelerators: map[string]int{}}
 	f.c.SetCatalog(&batch.Catalog{Version: 1, Queues: []batch.Queue{simQueue(0), simQueue(1), simQueue(2)}})
 	for _, n := range nodes {
 		f.report(n, 0)
@@ -48,10 +50,17 @@
 	return f
 }
 
+// fixtureAccelerators is the number of accelerators of a worker.
+const fixtureAccelerators = 8
+
 func (f *fixture) report(node string, at time.Duration, running ...batch.RunningTask) {
+	accelerators := fixtureAccelerators
+	if n, ok := f.accelerators[node]; ok {
+		accelerators = n
+	}
 	incarnation := batch.Incarnation{ID: node, StartedMS: 1 + f.incarnations[node]}
 	f.c.ApplyReport(Report{Node: node, SentAt: at, ReceivedAt: at, Worker: &batch.Worker{Incarnation: incarnation,
-		Service: "s", Rack: "r", Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8},
+		Service: "s", Rack: "r", Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: accelerators},
 		Sequence: at.Milliseconds() + 1},
 		Runs: &batch.Runs{Incarnation: incarnation, ClockMS: at.Milliseconds(), Running: running}}, f.wall)
 	f.c.GrantLease(node, incarnation) // as the next poll does
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -62,5 +62,6 @@
 	AckedThrough int64
 	Worker       *batch.Worker // nil if there is no new announcement
 	HasLeft      bool          // this incarnation of the worker has deregistered
-	Runs         *batch.Runs   // nil if the worker did not answer the agent
+	Runs         *batch.Runs   // nil if the agent did not get them
+	WorkerDown   bool          // the worker did not answer the agent
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -234,7 +234,7 @@
 }
 
 // fitsNearWhenEmpty reports whether the workers near the data, or those of a single rack, could hold the unit if they
-// were empty.
+// were empty and had their largest capacity.
 func (p *planner) fitsNearWhenEmpty(u unit, n int) bool {
 	sh, cacheable := shapeOf(u, n)
 	if cached, known := p.fitsNear[sh]; cacheable && known {
@@ -244,7 +244,7 @@
 	empty := map[string]batch.Resources{}
 	for _, w := range p.core.sortedWorkers {
 		if w.info != nil && !w.hasLeft && (s.DataRack == "" || w.info.Rack == s.DataRack) && !w.info.Leaving {
-			empty[w.node] = w.info.Capacity
+			empty[w.node] = w.largest
 		}
 	}
 	u.suspect, u.isolated = false, false
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -127,11 +127,20 @@
 	}
 }
 
-// withdrawStart requeues a task whose assignment is recorded and whose start order has not been sent.
+// withdrawStart requeues a task, or all members of its gang, whose assignment is recorded and whose start orders have
+// not been sent.
 func (c *Core) withdrawStart(t *task, reason string, now time.Duration) {
 	klog.InfoS("Start withdrawn", "task", t.id, "run", t.run, "node", t.node, "reason", reason)
-	c.requeue(t, LossOrder, now)
-	c.stopGang(t, LossMemberLost, "member not started: "+reason, now)
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	run := t.run
+	for _, m := range members {
+		if m.phase == assigned && m.run == run && !m.startSent {
+			c.requeue(m, LossOrder, now)
+		}
+	}
 }
 
 // requeue handles the end of a run without success: the task waits to be placed again unless its job is in a final
@@ -246,12 +255,16 @@
 func (c *Core) reconcileRuns(w *worker, r Report) {
 	now := r.ReceivedAt
 	reported := make(map[*task]bool, len(w.tasks))
+	w.orphaned = batch.Resources{}
 	for _, run := range r.Runs.Running {
 		var t *task
 		if j := c.jobs[run.Task.Job]; j != nil {
 			t = j.findTask(run.Task)
 		}
 		if t == nil || !t.active() || t.run != run.Run || t.node != w.node || t.incarnation != w.info.Incarnation {
+			if t != nil {
+				w.orphaned = w.orphaned.Plus(t.step.spec.Reserved())
+			}
 			c.stopOrphan(w, run, now)
 			continue
 		}
@@ -287,7 +300,7 @@
 		case t.phase == assigned && !t.startSent && !t.step.job().dirty && !t.step.job().writing:
 			// A previous leader recorded the assignment, and may not have sent the order.
 			t.startSent, t.startUncertain, t.assignedAt = true, true, now
-			c.outbox = append(c.outbox, c.startOrder(t))
+			c.repeatStart(w, t, now)
 		case t.phase == assigned && t.confirmed && r.SentAt > t.confirmedAt && len(r.Runs.Ended) < maxEndsPerReport:
 			if t.missedReports++; t.missedReports >= maxMissedReports {
 				c.stopRun(t, LossOrder, "missing from the worker's list", now)
@@ -296,6 +309,16 @@
 	}
 }
 
+// repeatStart sends a start order that may have been sent before, or a stop if the worker cannot take the run any more.
+func (c *Core) repeatStart(w *worker, t *task, now time.Duration) {
+	if reason := w.rejectReason(t); reason != "" {
+		c.stopRun(t, LossOrder, reason, now)
+		c.stopGang(t, LossMemberLost, "member not started: "+reason, now)
+		return
+	}
+	c.outbox = append(c.outbox, c.startOrder(t))
+}
+
 // startOrder returns the order to start the present run of a task.
 func (c *Core) startOrder(t *task) Order {
 	return Order{Kind: OrderStart, Node: t.node, Incarnation: t.incarnation, Task: t.id, Run: t.run,
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -188,7 +188,7 @@
 		if !w.alive && s.now >= w.partitionedUntil { // the agent finds that its worker does not answer
 			s.after(s.latency(), func() {
 				if s.term == term && s.core == c && s.now >= w.partitionedUntil {
-					c.ApplyReport(Report{Node: w.node, SentAt: sentAt, ReceivedAt: s.now}, s.wall())
+					c.ApplyReport(Report{Node: w.node, SentAt: sentAt, ReceivedAt: s.now, WorkerDown: true}, s.wall())
 				}
 				repeat(100 * time.Millisecond)
 			})
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -34,8 +34,10 @@
 	announcedAt time.Duration // when the current incarnation was announced
 	// orphanStops holds the time of the last stop order for each orphaned run, to limit their rate.
 	orphanStops      map[string]time.Duration
-	failedJobs       int    // consecutive failed runs of different jobs
-	lastFailedJob    string // job of the last of them
+	orphaned         batch.Resources // needed by runs of the last report that are not assigned to the worker
+	largest          batch.Resources // the largest capacity that the worker has announced
+	failedJobs       int             // consecutive failed runs of different jobs
+	lastFailedJob    string          // job of the last of them
 	quarantinedUntil time.Duration
 	// replaced is the incarnation before the current one until the first report of the current one.
 	replaced    *endedIncarnation
@@ -79,9 +81,10 @@
 	return tasks
 }
 
-// reserved returns the capacity that the tasks of the worker reserve, including those that are being stopped.
+// reserved returns the capacity that the tasks of the worker reserve, including those that are being stopped, and runs
+// that it lists although they are not assigned to it.
 func (w *worker) reserved() batch.Resources {
-	var r batch.Resources
+	r := w.orphaned
 	for t := range w.tasks {
 		r = r.Plus(t.step.spec.Reserved())
 	}
@@ -94,6 +97,20 @@
 		now-w.reportedAt <= maxReportAge && now >= w.quarantinedUntil
 }
 
+// rejectReason returns why the worker cannot take the run of a task that is assigned to it, or an empty string. Its
+// capacity may have shrunk since the task was placed.
+func (w *worker) rejectReason(t *task) string {
+	switch {
+	case t.incarnation != w.incarnation():
+		return "" // the answer to the order tells
+	case w.downSince != never:
+		return "worker does not answer"
+	case !w.reserved().FitsIn(w.info.Capacity):
+		return "capacity has shrunk"
+	}
+	return ""
+}
+
 // GrantLease extends the lease of a worker's incarnation and returns its end in milliseconds on the worker's clock. It
 // returns false if the incarnation is not the current one or its clock is unknown.
 func (c *Core) GrantLease(node string, incarnation batch.Incarnation) (int64, bool) {
@@ -174,14 +191,11 @@
 		klog.InfoS("Worker has left", "node", w.node, "worker", w.info.Incarnation, "tasks", len(w.tasks))
 		c.markTasksLost(w, "worker left", r.ReceivedAt)
 	}
-	if r.Runs == nil || w.info == nil || r.Runs.Incarnation.StartedMS != w.info.Incarnation.StartedMS {
-		// No answer, or one of another incarnation than the announced one.
-		if w.reached && w.downSince == never && r.SentAt >= w.reportSentAt {
-			klog.InfoS("Worker does not answer its agent", "node", w.node, "worker", w.incarnation(),
-				"tasks", len(w.tasks))
-			w.downSince, w.lastDownAt = r.ReceivedAt, r.ReceivedAt
-			c.planNeeded = true
-		}
+	answered := r.Runs != nil && w.info != nil && r.Runs.Incarnation.StartedMS == w.info.Incarnation.StartedMS
+	if r.WorkerDown || r.Runs != nil && !answered { // no answer, or one of another incarnation than the announced one
+		c.noteWorkerDown(w, r)
+	}
+	if !answered {
 		return
 	}
 	if r.SentAt < w.reportSentAt || w.epoch > 0 && r.SentAt < w.announcedAt {
@@ -207,6 +221,16 @@
 	c.reconcileRuns(w, r)
 }
 
+// noteWorkerDown notes since when a worker does not answer its agent.
+func (c *Core) noteWorkerDown(w *worker, r Report) {
+	if !w.reached || w.downSince != never || r.SentAt < w.reportSentAt {
+		return
+	}
+	klog.InfoS("Worker does not answer its agent", "node", w.node, "worker", w.incarnation(), "tasks", len(w.tasks))
+	w.downSince, w.lastDownAt = r.ReceivedAt, r.ReceivedAt
+	c.planNeeded = true
+}
+
 // updateWorker applies a worker's announcement. Runs of a previous incarnation are resolved by the first report of the
 // new one.
 func (c *Core) updateWorker(w *worker, info *batch.Worker, now time.Duration) {
@@ -216,6 +240,7 @@
 		return
 	}
 	w.info = info
+	w.largest = w.largest.Max(info.Capacity)
 	if before != nil && before.Incarnation != info.Incarnation {
 		w.epoch++
 		if w.replaced == nil {
@@ -228,8 +253,16 @@
 		w.reached, w.hasLeft, w.lastEnd, w.recordedEnd, w.ackedEnd, w.workerClockMS, w.reportedAt =
 			false, false, 0, 0, 0, 0, 0
 		w.failedJobs, w.quarantinedUntil, w.announcedAt = 0, 0, now
+		w.orphaned, w.largest = batch.Resources{}, info.Capacity
+		c.planNeeded = true
+		return
+	}
+	if before.Capacity != info.Capacity {
+		klog.InfoS("Worker's capacity changed", "node", w.node, "worker", info.Incarnation, "capacity", info.Capacity,
+			"before", before.Capacity, "reserved", w.reserved())
 		c.planNeeded = true
-	} else if before.Leaving != info.Leaving {
+	}
+	if before.Leaving != info.Leaving {
 		klog.InfoS("Worker leaving", "node", w.node, "worker", info.Incarnation, "leaving", info.Leaving,
 			"leavingInMs", info.LeavingInMS, "tasks", len(w.tasks))
 		c.planNeeded = true
@@ -250,7 +283,7 @@
 			c.queueStop(t, now)
 		case t.phase == assigned && !t.confirmed && t.resendAt != 0 && now >= t.resendAt && w.downSince == never:
 			t.resendAt = 0
-			c.outbox = append(c.outbox, c.startOrder(t)) // starting the same run twice is idempotent
+			c.repeatStart(w, t, now) // starting the same run twice is idempotent
 		}
 	}
 }
