--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -67,7 +67,7 @@
 func TestStartIsNotRepeatedIfTheCapacityShrinks(t *testing.T) {
 	f := newFixture(t, "a")
 	f.submit(capacityJob, 1, 0, batch.Step{Count: 1, Estimate: time.Minute, Need: batch.Resources{Accelerators: 4}})
-	orders := f.planAndCommit(0)
+	f.planAndCommit(0)
 	f.takeOver(time.Second)
 	f.accelerators["a"] = 2
 	f.report("a", time.Second)
@@ -84,7 +84,7 @@
 	if err != nil || b == nil {
 		t.Fatal(b, err)
 	}
-	orders = f.c.ApplyCommit(b, 1, 0)
+	orders := f.c.ApplyCommit(b, 1, 0)
 	f.c.ApplyVerdict(orders[0], batch.VerdictUnknown, "", 0)
 	f.accelerators["a"] = 2
 	f.report("a", startRetryDelay)
