scheduler: the model plays crashing tasks and shrinking workers

A crash that coincided with others was excused although its task was starting.

Change: rulecheck knows LIMIT, the limit on starts after three crashes, and causes of failed jobs. Every eighth job of the new scenario has a task that crashes its workers, at once or up to 2 s after its start; workers shrink, and three of five do not enforce their capacity. The scheduler counts the crashes above; after the third crash a task gets two runs. Losses with silent workers count towards that limit. Isolated tasks are preempted only for guaranteed work. A run counts as starting for 0.5 s instead of 1 s, and a crash is attributed to nothing that starts beside a task that has lost two workers: this takes a task that crashes workers a little later less often for its neighbours. A start is withdrawn if the worker has been silent.

--- a/internal/rulecheck/checker.go
+++ b/internal/rulecheck/checker.go
@@ -7,12 +7,15 @@
 //	TWICE    a task starts while another worker runs it under a valid lease, or after it has completed
 //	UNASKED  a task starts that was not submitted or is cancelled
 //	ORDER    a task starts before the steps that it depends on have completed
-//	BUDGET   a task starts after it has used up its attempts
+//	BUDGET   a task starts after it has used up its attempts, or for the third time after three workers have crashed
+//	         because of it
+//	LIMIT    a start brings a worker over its capacity
 //	GANG     a member of a gang completes before all members have started
 //	CONFIG   a submission is accepted with a removed key
 //	REFUSED  a job runs although each submission was rejected
 //	MIXED    a job is reported as completed although a task has not completed
-//	LOST     an accepted job is neither completed nor cancelled after the recovery from faults
+//	LOST     an accepted job is neither completed nor cancelled after the recovery from faults, or has failed although
+//	         it could have run
 package rulecheck
 
 import (
@@ -31,8 +34,20 @@
 	MaxStartAfterCancel time.Duration
 	// MaxKeyUseAfterRemoval is how long after its removal a key may still be accepted.
 	MaxKeyUseAfterRemoval time.Duration
+	// MaxStartAfterShrink is how long a capacity that has shrunk still counts.
+	MaxStartAfterShrink time.Duration
 }
 
+const (
+	// crashesBeforeLimit is the number of workers that a task may crash before its further starts are limited to
+	// maxStartsAfterCrashes.
+	crashesBeforeLimit    = 3
+	maxStartsAfterCrashes = 2
+	// minCrashesToGiveUp is the number of workers that must have crashed with a run of a task before its job may fail for
+	// that.
+	minCrashesToGiveUp = 2
+)
+
 // Checker takes events, which must come in the order of their times, and collects violations of the rules. It is not
 // safe for concurrent use.
 type Checker struct {
@@ -45,6 +60,10 @@
 	completed            map[batch.TaskID]bool // ended as done at least once, even if the end was lost later
 	acknowledged         map[batch.TaskID]bool // completed, and the worker was told to forget the end
 	acknowledgedFailures map[batch.TaskID]int  // failed runs that the worker was told to forget
+	failures             map[batch.TaskID]int  // failed runs, whether or not their ends were lost later
+	crashes              map[batch.TaskID]int  // workers that crashed because of the task
+	crashesUnder         map[batch.TaskID]int  // workers that crashed with a run of the task
+	startsAfterCrashes   map[batch.TaskID]int  // starts after crashesBeforeLimit crashes
 	cancelledAt          map[string]time.Duration
 	keyRemovedAt         map[string]time.Duration
 	partialGangs         bool // members of a gang may complete although others have not started
@@ -59,6 +78,13 @@
 	// expiredUpTo is the number of the last end before the lease expired. Acknowledging ends up to it does not make
 	// them final.
 	expiredUpTo int64
+	capacities  []capacity // oldest first; none if the capacity is not known
+}
+
+// capacity is a capacity of a worker from a time on.
+type capacity struct {
+	since     time.Duration
+	resources batch.Resources
 }
 
 type runEnd struct {
@@ -72,6 +98,7 @@
 	return &Checker{limits: limits, jobs: map[string]batch.Job{}, workers: map[string]*worker{},
 		startCount: map[string]int{}, startedMembers: map[batch.TaskID]map[int]struct{}{}, completed: map[batch.TaskID]bool{},
 		acknowledged: map[batch.TaskID]bool{}, acknowledgedFailures: map[batch.TaskID]int{},
+		failures: map[batch.TaskID]int{}, crashes: map[batch.TaskID]int{}, crashesUnder: map[batch.TaskID]int{}, startsAfterCrashes: map[batch.TaskID]int{},
 		cancelledAt: map[string]time.Duration{}, keyRemovedAt: map[string]time.Duration{}}
 }
 
@@ -127,8 +154,55 @@
 	w.leaseUntil = max(w.leaseUntil, until)
 }
 
+// CapacityChanged records the capacity of a worker from a time on.
+func (c *Checker) CapacityChanged(name string, resources batch.Resources, at time.Duration) {
+	w := c.workerNamed(name)
+	w.capacities = append(w.capacities, capacity{at, resources})
+}
+
+// TaskCrashedWorker records that a run of a task crashed its worker. WorkerTerminated follows.
+func (c *Checker) TaskCrashedWorker(task batch.TaskID) { c.crashes[task]++ }
+
 // RunStarted records that a run starts on a worker.
 func (c *Checker) RunStarted(name string, task batch.TaskID, run int, payload string, at time.Duration) {
+	if step := c.step(task); step != nil {
+		c.checkCapacity(name, task, step, at)
+	}
+	if c.crashes[task] >= crashesBeforeLimit {
+		if c.startsAfterCrashes[task]++; c.startsAfterCrashes[task] > maxStartsAfterCrashes {
+			c.AddViolation(at, "BUDGET: %v run %d is start %d after %d workers crashed because of it", task, run,
+				c.startsAfterCrashes[task], crashesBeforeLimit)
+		}
+	}
+	c.RunStartedLate(name, task, run, payload, at)
+}
+
+// checkCapacity checks that a run fits beside the others, by the largest capacity within the last MaxStartAfterShrink.
+func (c *Checker) checkCapacity(name string, task batch.TaskID, step *batch.Step, at time.Duration) {
+	w := c.workerNamed(name)
+	if len(w.capacities) == 0 {
+		return
+	}
+	used := step.Reserved()
+	for other := range w.running {
+		if other != task {
+			used = used.Plus(c.step(other).Reserved())
+		}
+	}
+	var allowed batch.Resources
+	for i, known := range w.capacities {
+		if last := i == len(w.capacities)-1; last || w.capacities[i+1].since >= at-c.limits.MaxStartAfterShrink {
+			allowed = allowed.Max(known.resources)
+		}
+	}
+	if !used.FitsIn(allowed) {
+		c.AddViolation(at, "LIMIT: %v starts on %s, which then needs %+v of %+v", task, name, used, allowed)
+	}
+}
+
+// RunStartedLate is RunStarted for an order that the worker carried out long after it was sent. Rules on crashes and
+// capacities do not apply to it.
+func (c *Checker) RunStartedLate(name string, task batch.TaskID, run int, payload string, at time.Duration) {
 	step := c.step(task)
 	if step == nil || task.Index >= step.Count {
 		c.AddViolation(at, "UNASKED: %v was never submitted", task)
@@ -182,6 +256,9 @@
 	delete(w.running, task)
 	w.ended = append(w.ended, runEnd{number, task, outcome})
 	step := c.step(task)
+	if outcome == batch.OutcomeFailed {
+		c.failures[task]++
+	}
 	if outcome != batch.OutcomeDone || step == nil {
 		return
 	}
@@ -220,7 +297,12 @@
 }
 
 // WorkerTerminated records that a worker's process ended. Its runs and the ends that were not acknowledged are lost.
-func (c *Checker) WorkerTerminated(name string) { delete(c.workers, name) }
+func (c *Checker) WorkerTerminated(name string) {
+	for task := range c.workerNamed(name).running {
+		c.crashesUnder[task]++
+	}
+	delete(c.workers, name)
+}
 
 // JobRefused records that each submission of a job was rejected.
 func (c *Checker) JobRefused(job string, at time.Duration) {
@@ -242,11 +324,26 @@
 			}
 		}
 	case state == batch.Cancelled && (cancelled || cancelUnanswered):
+	case state == batch.Failed && c.mayFail(job):
 	default:
 		c.AddViolation(at, "LOST: %s is %q after the recovery", job, state)
 	}
 }
 
+// mayFail reports whether a task of a job has used up its attempts, or enough workers have crashed with a run of it.
+func (c *Checker) mayFail(job string) bool {
+	for _, task := range c.jobTasks(job) {
+		failures := 0
+		for _, m := range c.gangTasks(task) {
+			failures += c.failures[m]
+		}
+		if c.limits.MaxAttempts > 0 && failures >= c.limits.MaxAttempts || c.crashesUnder[task] >= minCrashesToGiveUp {
+			return true
+		}
+	}
+	return false
+}
+
 // IsTaskCompleted reports whether a task has completed for good: the end was acknowledged, or is listed by a worker
 // whose lease has not expired since.
 func (c *Checker) IsTaskCompleted(task batch.TaskID, at time.Duration) bool {
--- a/internal/rulecheck/checker_test.go
+++ b/internal/rulecheck/checker_test.go
@@ -14,6 +14,7 @@
 	a := batch.TaskID{Job: "j", Step: 0}
 	b := batch.TaskID{Job: "j", Step: 1}
 	gang := batch.TaskID{Job: "g"}
+	wide := batch.TaskID{Job: "c"}
 	cases := map[string]struct {
 		rule   string // empty if no violation is expected
 		events func(c *Checker)
@@ -57,6 +58,35 @@
 			c.RunEnded("w", 1, a, 1, batch.OutcomeFailed, time.Second)
 			start(c, "w", a, 2, 2)
 		}},
+		"third start after three crashes": {"BUDGET", func(c *Checker) { crash(c, a, 3); crashLater(c, a, 2) }},
+		"two starts after three crashes":  {"", func(c *Checker) { crash(c, a, 3); crashLater(c, a, 1) }},
+		"more than the capacity": {"LIMIT", func(c *Checker) {
+			c.CapacityChanged("w", batch.Resources{Accelerators: 4}, 0)
+			c.CapacityChanged("w", batch.Resources{Accelerators: 1}, time.Second)
+			c.CapacityChanged("w", batch.Resources{Accelerators: 2}, 2*time.Second)
+			start(c, "w", wide, 1, 7)
+		}},
+		"more than a capacity that has just shrunk": {"", func(c *Checker) {
+			c.CapacityChanged("w", batch.Resources{Accelerators: 4}, 0)
+			c.CapacityChanged("w", batch.Resources{Accelerators: 2}, 2*time.Second)
+			start(c, "w", wide, 1, 7)
+		}},
+		"beside a run that fills the worker": {"LIMIT", func(c *Checker) {
+			c.CapacityChanged("w", batch.Resources{Accelerators: 4}, 0)
+			start(c, "w", wide, 1, 1)
+			second := wide
+			second.Index = 1
+			start(c, "w", second, 1, 2)
+		}},
+		"failed without a cause": {"LOST", func(c *Checker) { c.FinalStateReported("j", batch.Failed, false, 1) }},
+		"failed after one crash": {"LOST", func(c *Checker) {
+			crash(c, a, 1)
+			c.FinalStateReported("j", batch.Failed, false, 1)
+		}},
+		"given up after two crashes": {"", func(c *Checker) {
+			crash(c, a, 2)
+			c.FinalStateReported("j", batch.Failed, false, 1)
+		}},
 		"partial gang":                {"GANG", func(c *Checker) { start(c, "w", gang, 1, 0); done(c, gang) }},
 		"refused":                     {"REFUSED", func(c *Checker) { start(c, "w", a, 1, 0); c.JobRefused("j", 1) }},
 		"lost":                        {"LOST", func(c *Checker) { c.FinalStateReported("j", batch.Running, false, 1) }},
@@ -73,7 +103,10 @@
 		}},
 	}
 	for name, tc := range cases {
-		c := New(Limits{MaxAttempts: 1, MaxStartAfterCancel: 5 * time.Second, MaxKeyUseAfterRemoval: 5 * time.Second})
+		c := New(Limits{MaxAttempts: 1, MaxStartAfterCancel: 5 * time.Second, MaxKeyUseAfterRemoval: 5 * time.Second,
+			MaxStartAfterShrink: 5 * time.Second})
+		c.JobSubmitted(batch.Job{ID: "c", Payload: "p", Steps: []batch.Step{{Count: 2,
+			Need: batch.Resources{Accelerators: 3}}}})
 		c.JobSubmitted(batch.Job{ID: "j", Payload: "p", Steps: []batch.Step{{Count: 1}, {Count: 1, After: []int{0}}}})
 		c.JobSubmitted(batch.Job{ID: "g", Payload: "p", Steps: []batch.Step{{Count: 2, Gang: true}}})
 		tc.events(c)
@@ -97,3 +130,18 @@
 func done(c *Checker, task batch.TaskID) {
 	c.RunEnded("w", 1, task, 1, batch.OutcomeDone, time.Second)
 }
+
+// crash records n starts of a task on worker "w" that crash it.
+func crash(c *Checker, task batch.TaskID, n int) {
+	for run := range n {
+		start(c, "w", task, run+1, run)
+		c.TaskCrashedWorker(task)
+		c.WorkerTerminated("w")
+	}
+}
+
+// crashLater records n more of them and a last start.
+func crashLater(c *Checker, task batch.TaskID, n int) {
+	crash(c, task, n)
+	start(c, "w", task, n+1, 30)
+}
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -50,6 +50,7 @@
 			t.Fatal(b, err)
 		}
 		at := 8 * time.Second // the store was away
+		f.report("a", at)
 		f.accelerators["a"] = 4
 		f.report("a", at)
 		want := 2
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -344,7 +344,7 @@
 func (c *Core) sendableOrders(recorded []Order, now time.Duration) []Order {
 	for _, o := range recorded {
 		if t := c.currentTask(o); t != nil && t.phase == assigned {
-			if reason := c.workers[t.node].rejectReason(t); reason != "" {
+			if reason := c.workers[t.node].rejectReason(t, now); reason != "" {
 				c.withdrawStart(t, reason, now)
 			}
 		}
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -15,22 +15,25 @@
 const (
 	// startupTime is how long after its start a run counts as starting. A worker that crashes within it may have crashed
 	// because of the run; a run that outlives it clears its task of the crashes that were attributed to it.
-	startupTime = time.Second
+	startupTime = 500 * time.Millisecond
 	// maxAttributedCrashes is the number of crashes attributed to a task, on different workers, after which it is given
 	// up. maxAttributedOnOneWorker applies if all were on the same worker.
 	maxAttributedCrashes     = 2
 	maxAttributedOnOneWorker = 3
+	// repeatedCrashes is the number of crashes under a task from which on it is not taken for a mere bystander.
+	repeatedCrashes = 2
 	// isolateAfterCrashes is the number of crashes under a task, whatever their cause, after which it gets its workers
 	// for itself, so that another crash is conclusive.
 	isolateAfterCrashes = 3
-	// maxCrashes is the number of crashes under a task after which it is given up whatever their cause. The platform's
-	// rules allow two starts after the third crash.
-	maxCrashes = 5
+	// maxIsolatedRuns is the number of runs that an isolated task gets. The platform's rules allow two starts after the
+	// third crash. maxCrashes is the same limit with losses of which it is not known yet whether they were crashes.
+	maxIsolatedRuns = 2
+	maxCrashes      = isolateAfterCrashes + maxIsolatedRuns
 	// crashMemory is how long a crash speaks against a worker, and how long a run must last to clear its task of all
 	// crashes.
 	crashMemory = time.Minute
 	// massCrashWindow and massCrashShare define a mass crash: more than this share of the workers, and at least
-	// minMassCrash of them, stop answering within the window. Its cause is none of their runs.
+	// minMassCrash of them, stop answering within the window. It does not speak against any of the workers.
 	massCrashWindow = time.Second
 	massCrashShare  = 1.0 / 3
 	minMassCrash    = 3
@@ -54,13 +57,18 @@
 	mass     bool
 }
 
+// verdict is what a crash says of a task with a run on the crashed worker.
+type verdict struct {
+	node       string
+	suspected  bool // the run was starting, or its start was not answered
+	attributed bool // the crash speaks against the task
+}
+
 // unresolvedLoss is a run that was lost with a silent worker, of which it is not known whether it has crashed. That is
 // known when the worker is reached again.
 type unresolvedLoss struct {
-	node        string
 	incarnation batch.Incarnation
-	attributed  bool // a crash would be attributed to the task
-	mass        bool
+	verdict     verdict // if the worker has crashed
 }
 
 // unexplainedCrash is a crash of a worker on which no run was starting.
@@ -69,15 +77,17 @@
 	victims []*task
 }
 
-// newCrash returns the crash of an incarnation with the tasks of its lost runs that may have started.
+// newCrash returns the crash of an incarnation with the tasks of its lost runs that may have started. Runs of earlier
+// incarnations, which crashed unseen, are among them.
 func (c *Core) newCrash(w *worker, ended endedIncarnation, lost []*task) *crash {
 	cr := &crash{endedIncarnation: ended, worker: w, mass: c.isMassCrash(ended.downSince)}
 	for _, t := range lost {
-		if t.incarnation != ended.incarnation || !t.mayHaveRun() {
+		if !t.mayHaveRun() {
 			continue
 		}
 		cr.victims = append(cr.victims, t)
-		if !t.confirmed || ended.downSince != never && t.startSent && ended.downSince-t.startedAt <= startupTime {
+		seen := t.incarnation == ended.incarnation && ended.downSince != never
+		if !t.confirmed || seen && t.startSent && ended.downSince-t.startedAt <= startupTime {
 			cr.suspects = append(cr.suspects, t)
 		}
 	}
@@ -101,11 +111,13 @@
 	return n >= minMassCrash && float64(n) > massCrashShare*float64(len(c.workers))
 }
 
-// attributedTo reports whether the crash speaks against a task: its run was certainly starting, and no run of another
-// job was.
+// attributedTo reports whether the crash speaks against a task: its run was certainly starting, no run of another job
+// was, and no other task on the worker has lost several workers, after whatever time.
 func (cr *crash) attributedTo(t *task) bool {
 	return t.confirmed && slices.Contains(cr.suspects, t) &&
-		!slices.ContainsFunc(cr.suspects, func(o *task) bool { return o.id.Job != t.id.Job })
+		!slices.ContainsFunc(cr.victims, func(o *task) bool {
+			return o.id.Job != t.id.Job && (o.crashes >= repeatedCrashes || slices.Contains(cr.suspects, o))
+		})
 }
 
 // conclusiveFor reports whether nothing but the task or the worker itself can have caused the crash, and the worker has
@@ -130,25 +142,34 @@
 	}
 	c.stats.Crashed++
 	cr := c.newCrash(w, *ended, lost)
-	for _, t := range cr.victims {
-		c.countCrash(t, w.node, cr.attributedTo(t), cr.mass)
+	verdicts := make([]verdict, len(cr.victims))
+	for i, t := range cr.victims {
+		verdicts[i] = cr.verdictOn(t)
+	}
+	for i, t := range cr.victims {
+		c.countCrash(t, verdicts[i])
+		if t.crashes == isolateAfterCrashes {
+			t.isolatedRuns = -1 // the run that has crashed is counted when it ends
+		}
 		t.crashConclusive = cr.conclusiveFor(t, now)
-		t.suspected = t.suspected || slices.Contains(cr.suspects, t)
 	}
 	cr.log(now)
 	c.blameWorker(cr, now)
 }
 
+// verdictOn returns what the crash says of one of its victims.
+func (cr *crash) verdictOn(t *task) verdict {
+	return verdict{cr.worker.node, slices.Contains(cr.suspects, t), cr.attributedTo(t)}
+}
+
 // countCrash counts a crash of a worker under a task.
-func (c *Core) countCrash(t *task, node string, attributed, mass bool) {
-	switch {
-	case attributed:
-		t.crashedOn = append(t.crashedOn, node)
-		t.avoid(node)
-	case mass:
-		return
+func (c *Core) countCrash(t *task, v verdict) {
+	if v.attributed {
+		t.crashedOn = append(t.crashedOn, v.node)
+		t.avoid(v.node)
 	}
 	t.crashes++
+	t.suspected = t.suspected || v.suspected
 	t.step.job().dirty = true
 	c.suspects[t] = struct{}{}
 }
@@ -182,7 +203,7 @@
 func (c *Core) deferCrash(w *worker) {
 	cr := c.newCrash(w, endedIncarnation{incarnation: w.incarnation(), downSince: w.downSince}, w.sortedTasks())
 	for _, t := range cr.victims {
-		t.unresolved = append(t.unresolved, unresolvedLoss{w.node, t.incarnation, cr.attributedTo(t), cr.mass})
+		t.unresolved = append(t.unresolved, unresolvedLoss{t.incarnation, cr.verdictOn(t)})
 		c.suspects[t] = struct{}{}
 		w.hasUnresolved = true
 	}
@@ -198,13 +219,13 @@
 	announced := w.replaced != nil && w.replaced.announced
 	for t := range c.suspects {
 		t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedLoss) bool {
-			if u.node != w.node {
+			if u.verdict.node != w.node {
 				return false
 			}
 			if u.incarnation != w.info.Incarnation && !announced {
 				klog.InfoS("Worker had crashed", "node", w.node, "worker", u.incarnation, "task", t.id,
-					"attributed", u.attributed)
-				c.countCrash(t, w.node, u.attributed, u.mass)
+					"attributed", u.verdict.attributed)
+				c.countCrash(t, u.verdict)
 			}
 			t.step.job().dirty = true
 			return true
@@ -218,7 +239,7 @@
 		t.crashedOn, t.suspected, t.step.job().dirty = nil, false, true
 	}
 	if lasted > crashMemory && (t.crashes > 0 || len(t.unresolved) > 0) {
-		t.crashes, t.unresolved, t.step.job().dirty = 0, nil, true
+		t.crashes, t.isolatedRuns, t.unresolved, t.step.job().dirty = 0, 0, nil, true
 		delete(c.suspects, t)
 	}
 }
@@ -253,7 +274,8 @@
 	attributed := len(t.crashedOn)
 	onOneWorker := attributed == 0 || !slices.ContainsFunc(t.crashedOn, func(n string) bool { return n != t.crashedOn[0] })
 	return attributed >= maxAttributedCrashes && !onOneWorker || attributed >= maxAttributedOnOneWorker ||
-		t.crashes > isolateAfterCrashes && t.crashConclusive || t.crashes >= maxCrashes
+		t.crashes > isolateAfterCrashes && t.crashConclusive || t.isolatedRuns >= maxIsolatedRuns ||
+		t.crashes >= repeatedCrashes && t.crashes+len(t.unresolved) >= maxCrashes
 }
 
 // log writes the facts by which a crash is attributed.
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -68,6 +68,5 @@
 	if capacity == nil || capacity.free.CoreEquivalents() <= (1-mostlyIdleShare)*capacity.total.CoreEquivalents() {
 		return false
 	}
-	u.isolated, u.apartUntil = false, p.now
-	return pack(p.candidates(u, p.allFree(), false), u.step.spec.Reserved(), idleFitFactor*n) != nil
+	return pack(p.candidates(u.relaxed(p.now), p.allFree(), false), u.step.spec.Reserved(), idleFitFactor*n) != nil
 }
--- a/internal/scheduler/invariants_test.go
+++ b/internal/scheduler/invariants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"testing"
@@ -11,10 +12,13 @@
 )
 
 // runRandomScenario injects all kinds of faults for about 40 seconds of simulated time and then lets the system
-// recover.
-func runRandomScenario(t *testing.T, seed uint64) *sim {
+// recover. prepare adds faults of a test to the simulation; it may be nil.
+func runRandomScenario(t *testing.T, seed uint64, prepare func(*sim)) *sim {
 	s := newSim(t, seed, 5)
 	s.faults = true
+	if prepare != nil {
+		prepare(s)
+	}
 	for n := range 40 {
 		s.after(s.between(0, 30*time.Second), func() {
 			s.submit(s.randomJob(n))
@@ -68,32 +72,67 @@
 	1134, // the same fault as 922
 }
 
-// Checks the invariants under random faults in simulated time. A failure names the seed that reproduces it. SIM_SEED
-// selects one seed, SIM_DAYS the number of seeds.
-func TestRulesHoldUnderFaults(t *testing.T) {
+// seeds returns the given seeds and those that SIM_SEED and SIM_DAYS select, by default 60.
+func seeds(first ...uint64) []uint64 {
 	scenarios := uint64(60)
-	first := uint64(1)
+	begin := uint64(1)
 	if v, err := strconv.ParseUint(os.Getenv("SIM_DAYS"), 10, 64); err == nil {
 		scenarios = v
 	}
 	if v, err := strconv.ParseUint(os.Getenv("SIM_SEED"), 10, 64); err == nil {
-		first, scenarios = v, 1
+		begin, scenarios = v, 1
 	}
-	seeds := append([]uint64(nil), regressions...)
-	for seed := first; seed < first+scenarios; seed++ {
-		seeds = append(seeds, seed)
+	all := append([]uint64(nil), first...)
+	for seed := begin; seed < begin+scenarios; seed++ {
+		all = append(all, seed)
 	}
-	for _, seed := range seeds {
-		s := runRandomScenario(t, seed)
-		for _, b := range s.checker.Violations() {
-			t.Errorf("seed %d: %s", seed, b)
-		}
+	return all
+}
+
+// checkScenario runs a scenario and reports broken rules, and jobs that are not in the final state that they should be
+// in.
+func checkScenario(t *testing.T, seed uint64, prepare func(*sim)) {
+	s := runRandomScenario(t, seed, prepare)
+	if len(s.checker.Violations()) == 0 {
 		for id, j := range s.core.jobs {
-			if len(s.checker.Violations()) == 0 && !j.state.Final() {
+			if !j.state.Final() {
 				t.Errorf("seed %d: LOST: job %s is %s after the recovery: %s", seed, id, j.state, describeTasks(j))
+				continue
 			}
+			s.checker.FinalStateReported(id, j.state, false, s.now)
 		}
 	}
+	for _, b := range s.checker.Violations() {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+}
+
+// Checks the invariants under random faults in simulated time. A failure names the seed that reproduces it. SIM_SEED
+// selects one seed, SIM_DAYS the number of seeds.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	for _, seed := range seeds(regressions...) {
+		checkScenario(t, seed, nil)
+	}
+}
+
+// The same with tasks that crash their workers, and with workers that shrink and grow, of which some do not enforce their
+// capacity.
+func TestRulesHoldUnderCrashingTasksAndShrinkingWorkers(t *testing.T) {
+	for _, seed := range seeds() {
+		checkScenario(t, seed, func(s *sim) {
+			s.crashRng = rand.New(rand.NewPCG(seed, 2))
+			for n, w := range s.workers {
+				w.enforces = n%2 == 1
+			}
+			for range 8 {
+				w := s.workers[s.rng.IntN(len(s.workers))]
+				s.after(s.between(time.Second, 35*time.Second), func() {
+					s.resize(w, s.rng.IntN(simAccelerators))
+					s.after(s.between(2*time.Second, 10*time.Second), func() { s.resize(w, simAccelerators) })
+				})
+			}
+		})
+	}
 }
 
 // Without faults the members of a gang start within GangWait, and none ends because others are missing.
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -69,6 +69,12 @@
 		u.isolated && (len(w.tasks) > 0 || p.startingOn[w.node])
 }
 
+// relaxed returns the unit without the conditions on the other runs of its workers.
+func (u unit) relaxed(now time.Duration) unit {
+	u.isolated, u.apartUntil = false, now
+	return u
+}
+
 // noteAssignment records that tasks of the unit were placed on workers in this plan.
 func (p *planner) noteAssignment(u unit, nodes []string) {
 	for _, node := range nodes {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -170,12 +170,8 @@
 // chooseNodes returns workers for n tasks of the unit within the free capacity, or nil.
 func (p *planner) chooseNodes(u unit, n int) []string {
 	if p.mustStartNow(u, n) {
-		u.lastAttempt, u.isolated, u.apartUntil = false, false, p.now
-		cs := p.candidates(u, p.allFree(), false)
-		if nodes := p.chooseFrom(u, n, cs); nodes != nil {
-			return nodes
-		}
-		return pack(cs, u.step.spec.Reserved(), n)
+		u.lastAttempt = false
+		return p.chooseNow(u, n)
 	}
 	if p.mustKeepHeadroom(u, n) {
 		return nil
@@ -194,6 +190,22 @@
 	return nodes
 }
 
+// chooseNow returns workers for n tasks of a unit that must start now, or nil. It keeps suspects apart if it can.
+func (p *planner) chooseNow(u unit, n int) []string {
+	relaxed := u.relaxed(p.now)
+	for _, cs := range [][]candidate{
+		p.candidates(u, p.free, false), p.candidates(relaxed, p.free, false), p.candidates(relaxed, p.allFree(), false),
+	} {
+		if nodes := p.chooseFrom(u, n, cs); nodes != nil {
+			return nodes
+		}
+		if nodes := pack(cs, u.step.spec.Reserved(), n); nodes != nil {
+			return nodes
+		}
+	}
+	return nil
+}
+
 // chooseFrom returns workers for n tasks of the unit among the candidates, or nil. It prefers workers near the data and
 // within one rack, and uses others only if the unit may run remote.
 func (p *planner) chooseFrom(u unit, n int, cs []candidate) []string {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -263,10 +263,17 @@
 		}
 		sum += (ran.Seconds()*m.step.spec.Need.CoreEquivalents() + restartLossCoreSeconds) *
 			(1 + repeatLossFactor*float64(m.preemptions))
+		if m.isolated() {
+			sum += isolatedLossCoreSeconds
+		}
 	}
 	return sum
 }
 
+// isolatedLossCoreSeconds is the cost of a stop of an isolated task, which has few runs left. It is above what any unit
+// may cost that is not within a guarantee.
+const isolatedLossCoreSeconds = 1e6
+
 // restartLossCoreSeconds is the fixed cost of a restart.
 const restartLossCoreSeconds = 1
 
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -83,10 +83,12 @@
 	Avoided []string `json:"a,omitempty"`
 	// Crashes is the number of workers that crashed with a run of the task. CrashedOn lists the nodes of those that are
 	// attributed to the task, Unresolved the runs lost with workers that were still silent.
-	Crashes    int                `json:"k,omitempty"`
-	CrashedOn  []string           `json:"kn,omitempty"`
-	Suspected  bool               `json:"ks,omitempty"` // a run was starting when a worker crashed
-	Unresolved []recordUnresolved `json:"u,omitempty"`
+	Crashes   int      `json:"k,omitempty"`
+	CrashedOn []string `json:"kn,omitempty"`
+	Suspected bool     `json:"ks,omitempty"` // a run was starting when a worker crashed
+	// IsolatedRuns is the number of runs that have ended since the task is isolated.
+	IsolatedRuns int                `json:"kr,omitempty"`
+	Unresolved   []recordUnresolved `json:"u,omitempty"`
 	// Node, ID and StartedMS identify the incarnation of the worker that the run is assigned to.
 	Node      string `json:"n,omitempty"`
 	ID        string `json:"i,omitempty"`
@@ -98,8 +100,8 @@
 	Node       string `json:"n"`
 	ID         string `json:"i"`
 	StartedMS  int64  `json:"b"`
+	Suspected  bool   `json:"s,omitempty"`
 	Attributed bool   `json:"k,omitempty"`
-	Mass       bool   `json:"m,omitempty"`
 }
 
 // record returns the job's progress as an encoded Record.
@@ -130,10 +132,10 @@
 				}
 				rt := recordTask{Index: i, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
 					Avoided: slices.Sorted(maps.Keys(t.failedOn)), Crashes: t.crashes, CrashedOn: t.crashedOn,
-					Suspected: t.suspected}
+					Suspected: t.suspected, IsolatedRuns: t.isolatedRuns}
 				for _, u := range t.unresolved {
-					rt.Unresolved = append(rt.Unresolved, recordUnresolved{Node: u.node, ID: u.incarnation.ID,
-						StartedMS: u.incarnation.StartedMS, Attributed: u.attributed, Mass: u.mass})
+					rt.Unresolved = append(rt.Unresolved, recordUnresolved{Node: u.verdict.node, ID: u.incarnation.ID,
+						StartedMS: u.incarnation.StartedMS, Suspected: u.verdict.suspected, Attributed: u.verdict.attributed})
 				}
 				if t.active() {
 					rt.Node, rt.ID, rt.StartedMS = t.node, t.incarnation.ID, t.incarnation.StartedMS
@@ -193,10 +195,11 @@
 	for _, node := range r.Avoided {
 		t.avoid(node)
 	}
-	t.crashes, t.crashedOn, t.suspected, t.retryAt = r.Crashes, r.CrashedOn, r.Suspected, now
+	t.crashes, t.crashedOn, t.suspected, t.isolatedRuns = r.Crashes, r.CrashedOn, r.Suspected, r.IsolatedRuns
+	t.retryAt = now
 	for _, u := range r.Unresolved {
-		t.unresolved = append(t.unresolved, unresolvedLoss{u.Node,
-			batch.Incarnation{ID: u.ID, StartedMS: u.StartedMS}, u.Attributed, u.Mass})
+		t.unresolved = append(t.unresolved, unresolvedLoss{batch.Incarnation{ID: u.ID, StartedMS: u.StartedMS},
+			verdict{u.Node, u.Suspected, u.Attributed}})
 	}
 	if r.Node != "" {
 		t.phase, t.node, t.incarnation = assigned, r.Node, batch.Incarnation{ID: r.ID, StartedMS: r.StartedMS}
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -147,6 +147,9 @@
 // state. cause is why its work is lost, unless the run was being stopped for another reason.
 func (c *Core) requeue(t *task, cause LossCause, now time.Duration) {
 	c.recordLoss(t, cause, now)
+	if t.isolated() && t.mayHaveRun() {
+		t.isolatedRuns++
+	}
 	c.unassign(t)
 	t.phase = waiting
 	if t.step.job().state.Final() {
@@ -311,7 +314,7 @@
 
 // repeatStart sends a start order that may have been sent before, or a stop if the worker cannot take the run any more.
 func (c *Core) repeatStart(w *worker, t *task, now time.Duration) {
-	if reason := w.rejectReason(t); reason != "" {
+	if reason := w.rejectReason(t, now); reason != "" {
 		c.stopRun(t, LossOrder, reason, now)
 		c.stopGang(t, LossMemberLost, "member not started: "+reason, now)
 		return
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -41,6 +41,7 @@
 	total     time.Duration
 	startedAt time.Duration
 	stopAt    time.Duration // when an ordered stop takes effect; zero if none is ordered
+	waited    time.Duration // time without all members of the gang
 	fails     bool
 	hangs     bool
 }
@@ -60,8 +61,17 @@
 	partitionedUntil time.Duration        // no message is delivered until then
 	knownIncarnation batch.Incarnation    // known to the agent, which learns of a new one from an announcement
 	leaving          bool
+	capacity         int  // accelerators
+	announced        int  // the capacity that is known to the agent
+	enforces         bool // the worker rejects what exceeds its capacity
 }
 
+// simAnnounceInterval is the longest time until the agent learns of a change of its worker.
+const simAnnounceInterval = 400 * time.Millisecond
+
+// simAccelerators is the number of accelerators of a worker that has not shrunk.
+const simAccelerators = 8
+
 // extendLease extends the lease of a worker, limited to the longest lease that the worker accepts.
 func (s *sim) extendLease(w *simWorker, lease int64) {
 	w.lease = max(w.lease, min(lease, w.clock(s.now)+simConfig.MaxLease.Milliseconds()))
@@ -95,6 +105,10 @@
 
 	cancelled map[string]time.Duration
 	checker   *rulecheck.Checker
+	// crashDelays holds the tasks that crash each worker that starts them, with the time from the start to the crash.
+	// crashRng draws them; nil for none.
+	crashDelays map[batch.TaskID]time.Duration
+	crashRng    *rand.Rand
 }
 
 type stored struct {
@@ -111,9 +125,11 @@
 	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), base: time.Unix(1_800_000_000, 0),
 		store: map[string]stored{}, jobs: map[string]batch.Job{}, cancelled: map[string]time.Duration{},
 		now: time.Second, checker: rulecheck.New(rulecheck.Limits{MaxAttempts: simQueue(0).MaxAttempts,
-			MaxStartAfterCancel: simConfig.Lease + 3*time.Second})}
+			MaxStartAfterCancel: simConfig.Lease + 3*time.Second,
+			MaxStartAfterShrink: 4*time.Second + simAnnounceInterval}),
+		crashDelays: map[batch.TaskID]time.Duration{}}
 	for i := range workers {
-		w := &simWorker{node: fmt.Sprintf("w%d", i)}
+		w := &simWorker{node: fmt.Sprintf("w%d", i), capacity: simAccelerators, enforces: true}
 		s.workers = append(s.workers, w)
 		s.startWorker(w)
 	}
@@ -137,7 +153,18 @@
 	w.alive, w.started, w.lease, w.fence, w.endCount, w.leaving = true, s.now, 0, 0, 0, false
 	w.runs, w.highestEnded, w.ended = map[batch.TaskID]*simRun{}, map[batch.TaskID]int{}, nil
 	incarnation := w.incarnation
-	s.after(s.between(0, 400*time.Millisecond), func() { w.knownIncarnation = incarnation })
+	s.after(s.between(0, simAnnounceInterval), func() { w.knownIncarnation, w.announced = incarnation, w.capacity })
+	s.resize(w, w.capacity)
+}
+
+// resize changes the capacity of a worker. The agent learns of it with the next announcement.
+func (s *sim) resize(w *simWorker, accelerators int) {
+	w.capacity = accelerators
+	if !w.alive {
+		return
+	}
+	s.checker.CapacityChanged(w.node, batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: accelerators}, s.now)
+	s.after(simAnnounceInterval, func() { w.announced = w.capacity })
 }
 
 // electLeader starts a new leader with the state in the store.
@@ -205,7 +232,7 @@
 		}
 		report := Report{Node: w.node, SentAt: sentAt, AckedThrough: ack, Worker: &batch.Worker{
 			Incarnation: w.knownIncarnation, Service: "s", Rack: w.node[:1],
-			Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8}, Leaving: w.leaving,
+			Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: w.announced}, Leaving: w.leaving,
 			Sequence: s.now.Milliseconds()}, Runs: w.report(s.now)}
 		s.after(s.latency(), func() {
 			if s.term == term && s.core == c && s.now >= w.partitionedUntil {
@@ -265,13 +292,13 @@
 		answer(batch.VerdictOldIncarnation)
 		return
 	}
-	execute := func() batch.Verdict { return s.executeOrder(w, o, fence, lease) }
+	execute := func() batch.Verdict { return s.executeOrder(w, o, fence, lease, false) }
 	switch {
 	case s.faults && s.rng.Float64() < 0.05: // carried out late, never answered
 		incarnation := w.incarnation
 		s.after(s.between(2*time.Second, 12*time.Second), func() {
 			if w.alive && w.incarnation == incarnation { // a worker that dies does not carry out what was delayed
-				execute()
+				s.executeOrder(w, o, fence, lease, true)
 			}
 		})
 		s.after(400*time.Millisecond, func() { answer(batch.VerdictUnknown) })
@@ -292,8 +319,8 @@
 	}
 }
 
-// executeOrder carries out an order on a worker and returns its verdict.
-func (s *sim) executeOrder(w *simWorker, o Order, fence, lease int64) batch.Verdict {
+// executeOrder carries out an order on a worker and returns its verdict. late means that the order was held up for long.
+func (s *sim) executeOrder(w *simWorker, o Order, fence, lease int64, late bool) batch.Verdict {
 	if o.Incarnation != w.knownIncarnation {
 		return batch.VerdictOldIncarnation
 	}
@@ -321,14 +348,21 @@
 	for _, r := range w.runs {
 		used += s.step(r.task).Need.Accelerators
 	}
-	if used+s.step(o.Task).Need.Accelerators > 8 {
+	if w.enforces && used+s.step(o.Task).Need.Accelerators > w.capacity {
 		return batch.VerdictNoCapacity
 	}
-	s.checker.RunStarted(w.node, o.Task, o.Run, o.Payload, s.now)
+	if late {
+		s.checker.RunStartedLate(w.node, o.Task, o.Run, o.Payload, s.now)
+	} else {
+		s.checker.RunStarted(w.node, o.Task, o.Run, o.Payload, s.now)
+	}
 	s.extendLease(w, lease)
 	work := s.between(500*time.Millisecond, 3*time.Second)
 	w.runs[o.Task] = &simRun{task: o.Task, run: o.Run, remaining: work, total: work, startedAt: s.now,
 		fails: s.faults && s.rng.Float64() < 0.04, hangs: s.faults && s.rng.Float64() < 0.02}
+	if delay, ok := s.crashDelays[o.Task]; ok {
+		s.crashAfter(w, w.runs[o.Task], delay)
+	}
 	return batch.VerdictAccepted
 }
 
@@ -353,7 +387,7 @@
 		case r.stopAt != 0 && s.now >= r.stopAt:
 			s.end(w, r, batch.OutcomeStopped)
 		case s.step(r.task).Gang && !s.gangComplete(r):
-			if s.now-r.startedAt > simConfig.GangWait {
+			if r.waited += simStep; r.waited > simConfig.GangWait {
 				if !s.faults && s.now > s.recoveredAt {
 					s.checker.AddViolation(s.now, "GANG: %v run %d ended alone", r.task, r.run)
 				}
@@ -365,7 +399,7 @@
 				if r.fails {
 					s.end(w, r, batch.OutcomeFailed)
 				} else {
-					s.end(w, r, batch.OutcomeDone)
+					s.endDone(w, r)
 				}
 			}
 		}
@@ -390,6 +424,23 @@
 	return true
 }
 
+// endDone ends a run as done, and the other members of its gang with it: they end together.
+func (s *sim) endDone(w *simWorker, r *simRun) {
+	s.end(w, r, batch.OutcomeDone)
+	if !s.step(r.task).Gang {
+		return
+	}
+	for n := range s.step(r.task).Count {
+		id := r.task
+		id.Index = n
+		for _, other := range s.workers {
+			if m := other.runs[id]; m != nil && m.run == r.run {
+				s.end(other, m, batch.OutcomeDone)
+			}
+		}
+	}
+}
+
 func (s *sim) end(w *simWorker, r *simRun, how batch.Outcome) {
 	klog.InfoS("SIM end", "at", s.now, "node", w.node, "task", r.task, "run", r.run, "how", how)
 	delete(w.runs, r.task)
@@ -406,6 +457,19 @@
 	w.runs = map[batch.TaskID]*simRun{}
 }
 
+// crashAfter crashes a worker because of a run that it has just started, unless the run ends before. The worker starts
+// again some seconds later.
+func (s *sim) crashAfter(w *simWorker, r *simRun, delay time.Duration) {
+	s.after(delay, func() {
+		if !w.alive || w.runs[r.task] != r {
+			return
+		}
+		s.checker.TaskCrashedWorker(r.task)
+		s.crash(w)
+		s.after(s.between(2500*time.Millisecond, 4*time.Second), func() { s.startWorker(w) })
+	})
+}
+
 // leaderRound is one round of the leader's main loop.
 func (s *sim) leaderRound() {
 	c, term := s.core, s.term
@@ -476,6 +540,7 @@
 	j.AcceptedAt = s.wall()
 	s.jobs[j.ID] = j
 	s.checker.JobSubmitted(j)
+	s.drawCrash(j)
 	if s.core != nil {
 		if err := s.core.AddJob(j, nil, 0, s.now, s.wall()); err != nil {
 			s.t.Fatal(err)
@@ -483,6 +548,19 @@
 	}
 }
 
+// drawCrash makes a task of every eighth job crash its workers: mostly right after its start, sometimes later.
+func (s *sim) drawCrash(j batch.Job) {
+	if s.crashRng == nil || s.crashRng.IntN(8) != 0 {
+		return
+	}
+	id := batch.TaskID{Job: j.ID, Step: s.crashRng.IntN(len(j.Steps))}
+	id.Index = s.crashRng.IntN(j.Steps[id.Step].Count)
+	s.crashDelays[id] = 10 * time.Millisecond
+	if s.crashRng.IntN(3) == 0 {
+		s.crashDelays[id] = time.Duration(s.crashRng.Int64N(int64(2 * time.Second)))
+	}
+}
+
 func (s *sim) cancel(id string) {
 	if _, ok := s.cancelled[id]; ok {
 		return
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -99,11 +99,11 @@
 
 // rejectReason returns why the worker cannot take the run of a task that is assigned to it, or an empty string. Its
 // capacity may have shrunk since the task was placed.
-func (w *worker) rejectReason(t *task) string {
+func (w *worker) rejectReason(t *task, now time.Duration) string {
 	switch {
 	case t.incarnation != w.incarnation():
 		return "" // the answer to the order tells
-	case w.downSince != never:
+	case w.downSince != never || now-w.reportedAt > maxReportAge:
 		return "worker does not answer"
 	case !w.reserved().FitsIn(w.info.Capacity):
 		return "capacity has shrunk"
@@ -274,14 +274,20 @@
 	if now > w.leaseExpiresBy && len(w.tasks) > 0 {
 		klog.InfoS("Worker lost", "node", w.node, "worker", w.incarnation(), "tasks", len(w.tasks),
 			"silentMs", (now - w.reportedAt).Milliseconds(), "heard", w.reached)
-		c.deferCrash(w)
+		if w.replaced != nil { // the next incarnation has announced itself, and has not answered yet
+			c.recordCrash(w, w.sortedTasks(), now)
+			w.replaced = nil
+		} else {
+			c.deferCrash(w)
+		}
 		c.markTasksLost(w, "lease expired", now)
 	}
 	for _, t := range w.sortedTasks() {
 		switch {
 		case t.phase == stopping && now-t.stopSentAt >= stopResendInterval && now-w.reportedAt <= maxReportAge:
 			c.queueStop(t, now)
-		case t.phase == assigned && !t.confirmed && t.resendAt != 0 && now >= t.resendAt && w.downSince == never:
+		case t.phase == assigned && !t.confirmed && t.resendAt != 0 && now >= t.resendAt && w.downSince == never &&
+			now-w.reportedAt <= maxReportAge:
 			t.resendAt = 0
 			c.repeatStart(w, t, now) // starting the same run twice is idempotent
 		}
