scheduler: stop gangs that wait for a member on a crashed worker

What callers saw: the other members of a gang held their accelerators for the whole gangWaitMs after one worker had crashed at the start, and ended alone.

Cause: the loss of a run is certain only when its worker comes back or its lease ends, 3 to 8 s later, and the gang was stopped only then.

Change: if the worker of a member has not answered its agent for a third of gangWaitMs, the gang is stopped unless a member has made progress; one that was at work is stopped after two thirds without progress. The lost member itself keeps its place until its end is certain.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -244,6 +244,26 @@
 	}
 }
 
+// stopWaitingGangs stops gangs with a member on a worker that is probably lost: the others would wait for it in vain and
+// end alone. A gang that has been at work may still be, so it gets more time.
+func (c *Core) stopWaitingGangs(w *worker, now time.Duration) {
+	if w.downSince == never || now-w.downSince < c.config.GangWait/3 {
+		return
+	}
+	for _, t := range w.sortedTasks() {
+		if !t.step.spec.Gang || t.phase != assigned {
+			continue
+		}
+		hasBegun := slices.ContainsFunc(t.step.tasks, func(m *task) bool { return m.active() && m.percent > 0 })
+		advances := slices.ContainsFunc(t.step.tasks, func(m *task) bool {
+			return m.active() && now-m.progressAt < c.config.GangWait/3
+		})
+		if !hasBegun || !advances && now-w.downSince >= c.config.GangWait*2/3 {
+			c.stopGang(t, LossMemberLost, "worker of a member does not answer", now)
+		}
+	}
+}
+
 // giveUpCrashingTasks fails the jobs of waiting tasks that have crashed too many workers.
 func (c *Core) giveUpCrashingTasks(now time.Duration, wall time.Time) {
 	var culprits []*task
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -192,3 +192,23 @@
 	}
 	t.Fatal("the task has not started although all tasks of the first job are done")
 }
+
+// Guards against members of a gang that hold their accelerators until GangWait is over, and end alone, after the worker
+// of another member has crashed at the start.
+func TestGangIsStoppedWhenTheWorkerOfAMemberCrashesAtItsStart(t *testing.T) {
+	f := newFixture(t, "a", "b")
+	f.submit(crashingJob, 1, 0, batch.Step{Count: 2, Gang: true, Estimate: time.Minute,
+		Need: batch.Resources{Accelerators: 8}})
+	f.planAndCommit(0)
+	for at := 100 * time.Millisecond; at < simConfig.GangWait/2; at += 100 * time.Millisecond {
+		f.c.ApplyReport(Report{Node: "a", SentAt: at, ReceivedAt: at, WorkerDown: true}, f.wall)
+		f.reportAll(at, 0, "b")
+		f.c.Tick(at, f.wall)
+		for _, o := range f.c.DrainOrders() {
+			if o.Kind == OrderStop && o.Node == "b" {
+				return
+			}
+		}
+	}
+	t.Error("the other member is not stopped within half of GangWait")
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -282,6 +282,7 @@
 		}
 		c.markTasksLost(w, "lease expired", now)
 	}
+	c.stopWaitingGangs(w, now)
 	for _, t := range w.sortedTasks() {
 		switch {
 		case t.phase == stopping && now-t.stopSentAt >= stopResendInterval && now-w.reportedAt <= maxReportAge:
