scheduler: attribute crashes by elimination, and on sound workers

What callers saw: a third worker lost with all its work for more than half of the tasks that crash their workers.

Cause: a crash while tasks of several jobs were starting was attributed to none of them for good, and two crashes on one worker needed a third although other tasks ran there.

Change: an ambiguous crash names the other tasks that may have caused it, and counts once each of them has outlived a later start. Two attributed crashes suffice on one worker if runs of other tasks had outlived their start on the same incarnation each time. What a task has to do with crashes is one struct of its record.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -16,8 +16,8 @@
 	// startupTime is how long after its start a run counts as starting. A worker that crashes within it may have crashed
 	// because of the run; a run that outlives it clears its task of the crashes that were attributed to it.
 	startupTime = 500 * time.Millisecond
-	// maxAttributedCrashes is the number of crashes attributed to a task, on different workers, after which it is given
-	// up. maxAttributedOnOneWorker applies if all were on the same worker.
+	// maxAttributedCrashes is the number of crashes attributed to a task, on different or on sound workers, after which it
+	// is given up. maxAttributedOnOneWorker applies otherwise.
 	maxAttributedCrashes     = 2
 	maxAttributedOnOneWorker = 3
 	// repeatedCrashes is the number of crashes under a task from which on it is not taken for a mere bystander.
@@ -45,6 +45,7 @@
 	// downSince is when the worker stopped answering its agent, or never if this leader has not observed it.
 	downSince time.Duration
 	announced bool // the worker had announced that it leaves
+	sound     bool // a run had outlived its start on the incarnation
 }
 
 // crash is the unannounced end of an incarnation of a worker.
@@ -57,18 +58,39 @@
 	mass     bool
 }
 
+// crashHistory is what a task has to do with crashes of workers. It is part of the job's record.
+type crashHistory struct {
+	Crashes     int          `json:"n,omitempty"` // workers that crashed with a run of the task, whatever the cause
+	Accusations []accusation `json:"a,omitempty"` // crashes since the last run that has outlived its start
+	// Suspected means that a run was starting, or may have been, when a worker crashed, and none has outlived its start
+	// since.
+	Suspected    bool             `json:"s,omitempty"`
+	Unresolved   []unresolvedLoss `json:"u,omitempty"` // runs lost with workers that are still silent
+	IsolatedRuns int              `json:"r,omitempty"` // runs that have ended since the task is isolated
+}
+
+// accusation is a crash that a task may have caused, since its run was starting.
+type accusation struct {
+	Node string `json:"n"`
+	// Others are the tasks of other jobs that may have caused the crash instead. The crash is attributed to the task if
+	// there are none, or once all of them are cleared.
+	Others []batch.TaskID `json:"o,omitempty"`
+	// Sound means that runs of other tasks had outlived their start on the same incarnation of the worker.
+	Sound bool `json:"s,omitempty"`
+}
+
 // verdict is what a crash says of a task with a run on the crashed worker.
 type verdict struct {
-	node       string
-	suspected  bool // the run was starting, or its start was not answered
-	attributed bool // the crash speaks against the task
+	Suspected  bool        `json:"s,omitempty"` // the run was starting, or its start was not answered
+	Accusation *accusation `json:"a,omitempty"` // nil unless the run was certainly starting
 }
 
 // unresolvedLoss is a run that was lost with a silent worker, of which it is not known whether it has crashed. That is
 // known when the worker is reached again.
 type unresolvedLoss struct {
-	incarnation batch.Incarnation
-	verdict     verdict // if the worker has crashed
+	Node        string            `json:"n"`
+	Incarnation batch.Incarnation `json:"i"`
+	Verdict     verdict           `json:"v,omitzero"` // if the worker has crashed
 }
 
 // unexplainedCrash is a crash of a worker on which no run was starting.
@@ -111,13 +133,40 @@
 	return n >= minMassCrash && float64(n) > massCrashShare*float64(len(c.workers))
 }
 
-// attributedTo reports whether the crash speaks against a task: its run was certainly starting, no run of another job
-// was, and no other task on the worker has lost several workers, after whatever time.
-func (cr *crash) attributedTo(t *task) bool {
-	return t.confirmed && slices.Contains(cr.suspects, t) &&
-		!slices.ContainsFunc(cr.victims, func(o *task) bool {
-			return o.id.Job != t.id.Job && (o.crashes >= repeatedCrashes || slices.Contains(cr.suspects, o))
-		})
+// verdictOn returns what the crash says of one of its victims. Others that may have caused it are those that were
+// starting as well, and those that have lost several workers, after whatever time.
+func (c *Core) verdictOn(t *task, cr *crash) verdict {
+	v := verdict{Suspected: slices.Contains(cr.suspects, t)}
+	if !v.Suspected || !t.confirmed {
+		return v
+	}
+	v.Accusation = &accusation{Node: cr.worker.node, Sound: cr.sound}
+	for _, o := range cr.victims {
+		if o.id.Job != t.id.Job && (o.crash.Crashes >= repeatedCrashes || slices.Contains(cr.suspects, o)) {
+			v.Accusation.Others = append(v.Accusation.Others, o.id)
+		}
+	}
+	return v
+}
+
+// attributed returns the crashes that are attributed to a task.
+func (c *Core) attributed(t *task) []accusation {
+	return slices.DeleteFunc(slices.Clone(t.crash.Accusations), func(a accusation) bool {
+		return slices.ContainsFunc(a.Others, func(id batch.TaskID) bool { return !c.isCleared(id) })
+	})
+}
+
+// isCleared reports whether a task that was starting when a worker crashed has outlived a later start.
+func (c *Core) isCleared(id batch.TaskID) bool {
+	j := c.jobs[id.Job]
+	if j == nil || j.state == batch.Failed {
+		return false
+	}
+	if j.state == batch.Completed {
+		return true
+	}
+	t := j.findTask(id)
+	return t != nil && (t.phase == done && !j.state.Final() || !t.suspect() && t.crash.Crashes < repeatedCrashes)
 }
 
 // conclusiveFor reports whether nothing but the task or the worker itself can have caused the crash, and the worker has
@@ -144,12 +193,12 @@
 	cr := c.newCrash(w, *ended, lost)
 	verdicts := make([]verdict, len(cr.victims))
 	for i, t := range cr.victims {
-		verdicts[i] = cr.verdictOn(t)
+		verdicts[i] = c.verdictOn(t, cr)
 	}
 	for i, t := range cr.victims {
 		c.countCrash(t, verdicts[i])
-		if t.crashes == isolateAfterCrashes {
-			t.isolatedRuns = -1 // the run that has crashed is counted when it ends
+		if t.crash.Crashes == isolateAfterCrashes {
+			t.crash.IsolatedRuns = -1 // the run that has crashed is counted when it ends
 		}
 		t.crashConclusive = cr.conclusiveFor(t, now)
 	}
@@ -157,19 +206,14 @@
 	c.blameWorker(cr, now)
 }
 
-// verdictOn returns what the crash says of one of its victims.
-func (cr *crash) verdictOn(t *task) verdict {
-	return verdict{cr.worker.node, slices.Contains(cr.suspects, t), cr.attributedTo(t)}
-}
-
 // countCrash counts a crash of a worker under a task.
 func (c *Core) countCrash(t *task, v verdict) {
-	if v.attributed {
-		t.crashedOn = append(t.crashedOn, v.node)
-		t.avoid(v.node)
+	if v.Accusation != nil {
+		t.crash.Accusations = append(t.crash.Accusations, *v.Accusation)
+		t.avoid(v.Accusation.Node)
 	}
-	t.crashes++
-	t.suspected = t.suspected || v.suspected
+	t.crash.Crashes++
+	t.crash.Suspected = t.crash.Suspected || v.Suspected
 	t.step.job().dirty = true
 	c.suspects[t] = struct{}{}
 }
@@ -186,7 +230,7 @@
 	jobs := map[string]bool{}
 	separate := 0
 	for _, u := range w.unexplained {
-		if slices.ContainsFunc(u.victims, func(t *task) bool { return t.crashes > 1 || jobs[t.id.Job] }) {
+		if slices.ContainsFunc(u.victims, func(t *task) bool { return t.crash.Crashes > 1 || jobs[t.id.Job] }) {
 			continue
 		}
 		for _, t := range u.victims {
@@ -201,9 +245,9 @@
 
 // deferCrash remembers the runs that are lost with a silent worker until it is known whether it has crashed.
 func (c *Core) deferCrash(w *worker) {
-	cr := c.newCrash(w, endedIncarnation{incarnation: w.incarnation(), downSince: w.downSince}, w.sortedTasks())
+	cr := c.newCrash(w, endedIncarnation{incarnation: w.incarnation(), downSince: w.downSince, sound: w.sound}, w.sortedTasks())
 	for _, t := range cr.victims {
-		t.unresolved = append(t.unresolved, unresolvedLoss{t.incarnation, cr.verdictOn(t)})
+		t.crash.Unresolved = append(t.crash.Unresolved, unresolvedLoss{w.node, t.incarnation, c.verdictOn(t, cr)})
 		c.suspects[t] = struct{}{}
 		w.hasUnresolved = true
 	}
@@ -218,14 +262,14 @@
 	w.hasUnresolved = false
 	announced := w.replaced != nil && w.replaced.announced
 	for t := range c.suspects {
-		t.unresolved = slices.DeleteFunc(t.unresolved, func(u unresolvedLoss) bool {
-			if u.verdict.node != w.node {
+		t.crash.Unresolved = slices.DeleteFunc(t.crash.Unresolved, func(u unresolvedLoss) bool {
+			if u.Node != w.node {
 				return false
 			}
-			if u.incarnation != w.info.Incarnation && !announced {
-				klog.InfoS("Worker had crashed", "node", w.node, "worker", u.incarnation, "task", t.id,
-					"attributed", u.verdict.attributed)
-				c.countCrash(t, u.verdict)
+			if u.Incarnation != w.info.Incarnation && !announced {
+				klog.InfoS("Worker had crashed", "node", w.node, "worker", u.Incarnation, "task", t.id,
+					"starting", u.Verdict.Suspected)
+				c.countCrash(t, u.Verdict)
 			}
 			t.step.job().dirty = true
 			return true
@@ -233,13 +277,15 @@
 	}
 }
 
-// clearSurvivor clears a task of crashes after its run has been seen to last.
-func (c *Core) clearSurvivor(t *task, lasted time.Duration) {
+// noteSurvivor clears a task of crashes, and its worker of doubt, after its run has been seen to last.
+func (c *Core) noteSurvivor(w *worker, t *task, r Report) {
+	lasted := r.SentAt - t.startedAt
+	w.sound = w.sound || lasted > startupTime
 	if lasted > startupTime && t.suspect() {
-		t.crashedOn, t.suspected, t.step.job().dirty = nil, false, true
+		t.crash.Accusations, t.crash.Suspected, t.step.job().dirty = nil, false, true
 	}
-	if lasted > crashMemory && (t.crashes > 0 || len(t.unresolved) > 0) {
-		t.crashes, t.isolatedRuns, t.unresolved, t.step.job().dirty = 0, 0, nil, true
+	if lasted > crashMemory && (t.crash.Crashes > 0 || len(t.crash.Unresolved) > 0) {
+		t.crash, t.step.job().dirty = crashHistory{}, true
 		delete(c.suspects, t)
 	}
 }
@@ -271,7 +317,7 @@
 		switch {
 		case t.phase == done || t.step.job().state.Final():
 			delete(c.suspects, t)
-		case t.phase == waiting && t.crashesWorkers():
+		case t.phase == waiting && c.crashesWorkers(t):
 			culprits = append(culprits, t)
 		}
 	}
@@ -282,20 +328,30 @@
 			continue
 		}
 		c.stats.GivenUp++
-		j.failure = fmt.Sprintf("task %v was given up: %d workers crashed while they ran it, right after its start: %v",
-			t.id, t.crashes, t.crashedOn)
-		klog.InfoS("Task given up", "task", t.id, "run", t.run, "crashes", t.crashes, "attributed", t.crashedOn)
+		attributed := c.attributed(t)
+		j.failure = fmt.Sprintf("task %v was given up: %d workers crashed while they ran it, %d of them because of it",
+			t.id, t.crash.Crashes, len(attributed))
+		klog.InfoS("Task given up", "task", t.id, "run", t.run, "crashes", t.crash.Crashes, "attributed", attributed,
+			"isolatedRuns", t.crash.IsolatedRuns)
 		c.finish(j, batch.Failed, now, wall)
 	}
 }
 
 // crashesWorkers reports whether a task is held responsible for the crashes under it.
-func (t *task) crashesWorkers() bool {
-	attributed := len(t.crashedOn)
-	onOneWorker := attributed == 0 || !slices.ContainsFunc(t.crashedOn, func(n string) bool { return n != t.crashedOn[0] })
-	return attributed >= maxAttributedCrashes && !onOneWorker || attributed >= maxAttributedOnOneWorker ||
-		t.crashes > isolateAfterCrashes && t.crashConclusive || t.isolatedRuns >= maxIsolatedRuns ||
-		t.crashes >= repeatedCrashes && t.crashes+len(t.unresolved) >= maxCrashes
+func (c *Core) crashesWorkers(t *task) bool {
+	attributed := c.attributed(t)
+	nodes := map[string]bool{}
+	sound := 0
+	for _, a := range attributed {
+		nodes[a.Node] = true
+		if a.Sound {
+			sound++
+		}
+	}
+	return len(nodes) >= maxAttributedCrashes || sound >= maxAttributedCrashes ||
+		len(attributed) >= maxAttributedOnOneWorker ||
+		t.crash.Crashes > isolateAfterCrashes && t.crashConclusive || t.crash.IsolatedRuns >= maxIsolatedRuns ||
+		t.crash.Crashes >= repeatedCrashes && t.crash.Crashes+len(t.crash.Unresolved) >= maxCrashes
 }
 
 // log writes the facts by which a crash is attributed.
@@ -317,7 +373,7 @@
 	}
 	runs := make([]string, len(tasks))
 	for i, t := range tasks {
-		runs[i] = fmt.Sprintf("%v:%d/%dms/%d", t.id, t.run, (end - t.startedAt).Milliseconds(), t.crashes)
+		runs[i] = fmt.Sprintf("%v:%d/%dms/%d", t.id, t.run, (end - t.startedAt).Milliseconds(), t.crash.Crashes)
 	}
 	return strings.Join(runs, " ")
 }
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -18,10 +18,10 @@
 const maxSeparationWait = 2 * time.Second
 
 // suspect reports whether a task was starting when a worker crashed, and has not outlived its start since.
-func (t *task) suspect() bool { return t.suspected || len(t.crashedOn) > 0 }
+func (t *task) suspect() bool { return t.crash.Suspected || len(t.crash.Accusations) > 0 }
 
 // isolated reports whether a task does not share its worker.
-func (t *task) isolated() bool { return t.crashes >= isolateAfterCrashes }
+func (t *task) isolated() bool { return t.crash.Crashes >= isolateAfterCrashes }
 
 // starting reports whether the present run of a task has not lasted for startupTime yet.
 func (t *task) starting(now time.Duration) bool {
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -80,30 +80,14 @@
 	// StartMS is the time from the acceptance of the job to the start of the run, in milliseconds.
 	StartMS int64 `json:"s,omitempty"`
 	// Avoided lists the nodes on which the task failed or straggled.
-	Avoided []string `json:"a,omitempty"`
-	// Crashes is the number of workers that crashed with a run of the task. CrashedOn lists the nodes of those that are
-	// attributed to the task, Unresolved the runs lost with workers that were still silent.
-	Crashes   int      `json:"k,omitempty"`
-	CrashedOn []string `json:"kn,omitempty"`
-	Suspected bool     `json:"ks,omitempty"` // a run was starting when a worker crashed
-	// IsolatedRuns is the number of runs that have ended since the task is isolated.
-	IsolatedRuns int                `json:"kr,omitempty"`
-	Unresolved   []recordUnresolved `json:"u,omitempty"`
+	Avoided []string     `json:"a,omitempty"`
+	Crash   crashHistory `json:"k,omitzero"`
 	// Node, ID and StartedMS identify the incarnation of the worker that the run is assigned to.
 	Node      string `json:"n,omitempty"`
 	ID        string `json:"i,omitempty"`
 	StartedMS int64  `json:"b,omitempty"`
 }
 
-// recordUnresolved is an unresolvedLoss.
-type recordUnresolved struct {
-	Node       string `json:"n"`
-	ID         string `json:"i"`
-	StartedMS  int64  `json:"b"`
-	Suspected  bool   `json:"s,omitempty"`
-	Attributed bool   `json:"k,omitempty"`
-}
-
 // record returns the job's progress as an encoded Record.
 func (j *job) record() ([]byte, error) {
 	r := Record{State: j.state, Started: j.started, Next: j.nextOccurrence, Ended: j.endedOccurrences,
@@ -131,12 +115,7 @@
 					continue
 				}
 				rt := recordTask{Index: i, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
-					Avoided: slices.Sorted(maps.Keys(t.failedOn)), Crashes: t.crashes, CrashedOn: t.crashedOn,
-					Suspected: t.suspected, IsolatedRuns: t.isolatedRuns}
-				for _, u := range t.unresolved {
-					rt.Unresolved = append(rt.Unresolved, recordUnresolved{Node: u.verdict.node, ID: u.incarnation.ID,
-						StartedMS: u.incarnation.StartedMS, Suspected: u.verdict.suspected, Attributed: u.verdict.attributed})
-				}
+					Avoided: slices.Sorted(maps.Keys(t.failedOn)), Crash: t.crash}
 				if t.active() {
 					rt.Node, rt.ID, rt.StartedMS = t.node, t.incarnation.ID, t.incarnation.StartedMS
 					rt.StartMS = j.age(t.startedAt).Milliseconds()
@@ -195,12 +174,8 @@
 	for _, node := range r.Avoided {
 		t.avoid(node)
 	}
-	t.crashes, t.crashedOn, t.suspected, t.isolatedRuns = r.Crashes, r.CrashedOn, r.Suspected, r.IsolatedRuns
+	t.crash = r.Crash
 	t.retryAt = now
-	for _, u := range r.Unresolved {
-		t.unresolved = append(t.unresolved, unresolvedLoss{batch.Incarnation{ID: u.ID, StartedMS: u.StartedMS},
-			verdict{u.Node, u.Suspected, u.Attributed}})
-	}
 	if r.Node != "" {
 		t.phase, t.node, t.incarnation = assigned, r.Node, batch.Incarnation{ID: r.ID, StartedMS: r.StartedMS}
 		j := t.step.job()
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -148,7 +148,7 @@
 func (c *Core) requeue(t *task, cause LossCause, now time.Duration) {
 	c.recordLoss(t, cause, now)
 	if t.isolated() && t.mayHaveRun() {
-		t.isolatedRuns++
+		t.crash.IsolatedRuns++
 	}
 	c.unassign(t)
 	t.phase = waiting
@@ -274,7 +274,7 @@
 		reported[t] = true
 		c.confirmStart(t, now)
 		t.missedReports = 0
-		c.clearSurvivor(t, r.SentAt-t.startedAt)
+		c.noteSurvivor(w, t, r)
 		if run.Checkpoint != "" && run.Checkpoint != t.checkpoint {
 			t.checkpoint, t.checkpointAt = run.Checkpoint, now
 			t.step.job().checkpointUnsaved = true
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -19,19 +19,15 @@
 
 // task is one task of a job. The fields from startSent on are not recorded.
 type task struct {
-	id           batch.TaskID
-	step         *stepInstance
-	phase        phase
-	run          int    // number of the latest run, from 1; 0 before the first
-	node         string // the node of the worker's agent
-	incarnation  batch.Incarnation
-	failures     int
-	checkpoint   string
-	crashes      int              // workers that crashed with a run of the task, whatever the cause
-	crashedOn    []string         // nodes of the crashes that are attributed to the task
-	isolatedRuns int              // ended runs since the task is isolated
-	suspected    bool             // the run was starting when a worker crashed, and no run has outlived its start since
-	unresolved   []unresolvedLoss // runs lost with workers that are still silent
+	id          batch.TaskID
+	step        *stepInstance
+	phase       phase
+	run         int    // number of the latest run, from 1; 0 before the first
+	node        string // the node of the worker's agent
+	incarnation batch.Incarnation
+	failures    int
+	checkpoint  string
+	crash       crashHistory
 
 	startSent      bool // this leader has sent the start order
 	inherited      bool // a previous leader recorded the assignment, and may have sent the order
