scheduler: a task that shares crashes with another is no bystander

What callers could see: a job was given up because the task of another job, which crashes its workers a second after its start, was beside it twice.

Cause: only tasks that were starting, or that had lost two workers, counted as possible causes beside a task.

Change: a task that was on the worker of an earlier crash under the task counts as well. The record lists the incarnations that crashed under a task instead of their number.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -148,7 +148,7 @@
 		if t.active() {
 			c.worker(t.node, now).tasks[t] = struct{}{}
 		}
-		if t.crash.Crashes > 0 || len(t.crash.Unresolved) > 0 {
+		if t.crashes() > 0 || len(t.crash.Unresolved) > 0 {
 			c.suspects[t] = struct{}{}
 		}
 	})
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -60,8 +60,9 @@
 
 // crashHistory is what a task has to do with crashes of workers. It is part of the job's record.
 type crashHistory struct {
-	Crashes     int          `json:"n,omitempty"` // workers that crashed with a run of the task, whatever the cause
-	Accusations []accusation `json:"a,omitempty"` // crashes since the last run that has outlived its start
+	// Crashed lists the incarnations that crashed with a run of the task, whatever the cause.
+	Crashed     []batch.Incarnation `json:"n,omitempty"`
+	Accusations []accusation        `json:"a,omitempty"` // crashes since the last run that has outlived its start
 	// Suspected means that a run was starting, or may have been, when a worker crashed, and none has outlived its start
 	// since.
 	Suspected    bool             `json:"s,omitempty"`
@@ -81,16 +82,16 @@
 
 // verdict is what a crash says of a task with a run on the crashed worker.
 type verdict struct {
-	Suspected  bool        `json:"s,omitempty"` // the run was starting, or its start was not answered
-	Accusation *accusation `json:"a,omitempty"` // nil unless the run was certainly starting
+	Incarnation batch.Incarnation `json:"i"`
+	Suspected   bool              `json:"s,omitempty"` // the run was starting, or its start was not answered
+	Accusation  *accusation       `json:"a,omitempty"` // nil unless the run was certainly starting
 }
 
 // unresolvedLoss is a run that was lost with a silent worker, of which it is not known whether it has crashed. That is
 // known when the worker is reached again.
 type unresolvedLoss struct {
-	Node        string            `json:"n"`
-	Incarnation batch.Incarnation `json:"i"`
-	Verdict     verdict           `json:"v,omitzero"` // if the worker has crashed
+	Node    string  `json:"n"`
+	Verdict verdict `json:"v"` // if the worker has crashed
 }
 
 // unexplainedCrash is a crash of a worker on which no run was starting.
@@ -133,16 +134,26 @@
 	return n >= minMassCrash && float64(n) > massCrashShare*float64(len(c.workers))
 }
 
+// crashes returns the number of workers that crashed with a run of the task, whatever the cause.
+func (t *task) crashes() int { return len(t.crash.Crashed) }
+
+// sharesCrash reports whether a worker has crashed with runs of both tasks.
+func (t *task) sharesCrash(o *task) bool {
+	return slices.ContainsFunc(t.crash.Crashed, func(i batch.Incarnation) bool { return slices.Contains(o.crash.Crashed, i) })
+}
+
 // verdictOn returns what the crash says of one of its victims. Others that may have caused it are those that were
-// starting as well, and those that have lost several workers, after whatever time.
+// starting as well, and, since a task may also crash its worker later, those that have lost several workers or were
+// there at an earlier crash under the task.
 func (c *Core) verdictOn(t *task, cr *crash) verdict {
-	v := verdict{Suspected: slices.Contains(cr.suspects, t)}
+	v := verdict{Incarnation: t.incarnation, Suspected: slices.Contains(cr.suspects, t)}
 	if !v.Suspected || !t.confirmed {
 		return v
 	}
 	v.Accusation = &accusation{Node: cr.worker.node, Sound: cr.sound}
 	for _, o := range cr.victims {
-		if o.id.Job != t.id.Job && (o.crash.Crashes >= repeatedCrashes || slices.Contains(cr.suspects, o)) {
+		if o.id.Job != t.id.Job &&
+			(o.crashes() >= repeatedCrashes || t.sharesCrash(o) || slices.Contains(cr.suspects, o)) {
 			v.Accusation.Others = append(v.Accusation.Others, o.id)
 		}
 	}
@@ -166,7 +177,7 @@
 		return true
 	}
 	t := j.findTask(id)
-	return t != nil && (t.phase == done && !j.state.Final() || !t.suspect() && t.crash.Crashes < repeatedCrashes)
+	return t != nil && (t.phase == done && !j.state.Final() || !t.suspect() && t.crashes() < repeatedCrashes)
 }
 
 // conclusiveFor reports whether nothing but the task or the worker itself can have caused the crash, and the worker has
@@ -197,7 +208,7 @@
 	}
 	for i, t := range cr.victims {
 		c.countCrash(t, verdicts[i])
-		if t.crash.Crashes == isolateAfterCrashes {
+		if t.crashes() == isolateAfterCrashes {
 			t.crash.IsolatedRuns = -1 // the run that has crashed is counted when it ends
 		}
 		t.crashConclusive = cr.conclusiveFor(t, now)
@@ -212,7 +223,7 @@
 		t.crash.Accusations = append(t.crash.Accusations, *v.Accusation)
 		t.avoid(v.Accusation.Node)
 	}
-	t.crash.Crashes++
+	t.crash.Crashed = append(t.crash.Crashed, v.Incarnation)
 	t.crash.Suspected = t.crash.Suspected || v.Suspected
 	t.step.job().dirty = true
 	c.suspects[t] = struct{}{}
@@ -230,7 +241,7 @@
 	jobs := map[string]bool{}
 	separate := 0
 	for _, u := range w.unexplained {
-		if slices.ContainsFunc(u.victims, func(t *task) bool { return t.crash.Crashes > 1 || jobs[t.id.Job] }) {
+		if slices.ContainsFunc(u.victims, func(t *task) bool { return t.crashes() > 1 || jobs[t.id.Job] }) {
 			continue
 		}
 		for _, t := range u.victims {
@@ -247,7 +258,7 @@
 func (c *Core) deferCrash(w *worker) {
 	cr := c.newCrash(w, endedIncarnation{incarnation: w.incarnation(), downSince: w.downSince, sound: w.sound}, w.sortedTasks())
 	for _, t := range cr.victims {
-		t.crash.Unresolved = append(t.crash.Unresolved, unresolvedLoss{w.node, t.incarnation, c.verdictOn(t, cr)})
+		t.crash.Unresolved = append(t.crash.Unresolved, unresolvedLoss{w.node, c.verdictOn(t, cr)})
 		c.suspects[t] = struct{}{}
 		w.hasUnresolved = true
 	}
@@ -266,8 +277,8 @@
 			if u.Node != w.node {
 				return false
 			}
-			if u.Incarnation != w.info.Incarnation && !announced {
-				klog.InfoS("Worker had crashed", "node", w.node, "worker", u.Incarnation, "task", t.id,
+			if u.Verdict.Incarnation != w.info.Incarnation && !announced {
+				klog.InfoS("Worker had crashed", "node", w.node, "worker", u.Verdict.Incarnation, "task", t.id,
 					"starting", u.Verdict.Suspected)
 				c.countCrash(t, u.Verdict)
 			}
@@ -284,7 +295,7 @@
 	if lasted > startupTime && t.suspect() {
 		t.crash.Accusations, t.crash.Suspected, t.step.job().dirty = nil, false, true
 	}
-	if lasted > crashMemory && (t.crash.Crashes > 0 || len(t.crash.Unresolved) > 0) {
+	if lasted > crashMemory && (t.crashes() > 0 || len(t.crash.Unresolved) > 0) {
 		t.crash, t.step.job().dirty = crashHistory{}, true
 		delete(c.suspects, t)
 	}
@@ -330,8 +341,8 @@
 		c.stats.GivenUp++
 		attributed := c.attributed(t)
 		j.failure = fmt.Sprintf("task %v was given up: %d workers crashed while they ran it, %d of them because of it",
-			t.id, t.crash.Crashes, len(attributed))
-		klog.InfoS("Task given up", "task", t.id, "run", t.run, "crashes", t.crash.Crashes, "attributed", attributed,
+			t.id, t.crashes(), len(attributed))
+		klog.InfoS("Task given up", "task", t.id, "run", t.run, "crashes", t.crashes(), "attributed", attributed,
 			"isolatedRuns", t.crash.IsolatedRuns)
 		c.finish(j, batch.Failed, now, wall)
 	}
@@ -350,8 +361,8 @@
 	}
 	return len(nodes) >= maxAttributedCrashes || sound >= maxAttributedCrashes ||
 		len(attributed) >= maxAttributedOnOneWorker ||
-		t.crash.Crashes > isolateAfterCrashes && t.crashConclusive || t.crash.IsolatedRuns >= maxIsolatedRuns ||
-		t.crash.Crashes >= repeatedCrashes && t.crash.Crashes+len(t.crash.Unresolved) >= maxCrashes
+		t.crashes() > isolateAfterCrashes && t.crashConclusive || t.crash.IsolatedRuns >= maxIsolatedRuns ||
+		t.crashes() >= repeatedCrashes && t.crashes()+len(t.crash.Unresolved) >= maxCrashes
 }
 
 // log writes the facts by which a crash is attributed.
@@ -373,7 +384,7 @@
 	}
 	runs := make([]string, len(tasks))
 	for i, t := range tasks {
-		runs[i] = fmt.Sprintf("%v:%d/%dms/%d", t.id, t.run, (end - t.startedAt).Milliseconds(), t.crash.Crashes)
+		runs[i] = fmt.Sprintf("%v:%d/%dms/%d", t.id, t.run, (end - t.startedAt).Milliseconds(), t.crashes())
 	}
 	return strings.Join(runs, " ")
 }
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -179,7 +180,9 @@
 	f.reportEverywhere(0)
 	f.submit(crashingJob, 1, 0, batch.Step{Count: 1, Estimate: 5 * time.Second, Need: batch.Resources{Accelerators: 1}})
 	isolated := f.c.jobs[crashingJob].findTask(batch.TaskID{Job: crashingJob})
-	isolated.crash.Crashes = isolateAfterCrashes
+	for n := range isolateAfterCrashes {
+		isolated.crash.Crashed = append(isolated.crash.Crashed, batch.Incarnation{ID: "x", StartedMS: int64(n)})
+	}
 	at := time.Duration(0)
 	for n := range 4 { // small tasks end one by one, and others wait to take their place
 		at += time.Second
@@ -224,17 +227,28 @@
 func TestCrashesOnOneWorkerCountIfItIsSound(t *testing.T) {
 	for _, sound := range []bool{true, false} {
 		f := newFixture(t, "a")
-		at := time.Second
-		want := maxAttributedOnOneWorker
-		if sound { // another task outlives its start before each crash
+		step := batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 4}}
+		f.submit(crashingJob, 1, 0, step)
+		id := batch.TaskID{Job: crashingJob}
+		crashes, at, want := 0, time.Duration(0), maxAttributedOnOneWorker
+		if sound {
 			want = maxAttributedCrashes
-			f.submit("00000000000000f0", 0, 0, batch.Step{Count: 1, Estimate: time.Minute,
-				Need: batch.Resources{Accelerators: 4}})
-			f.planAndCommit(0)
 		}
-		f.reportEverywhere(at)
-		f.submit(crashingJob, 1, at, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 4}})
-		crashes, _ := f.crashUnder(batch.TaskID{Job: crashingJob}, at, allowedCrashes)
+		for round := range 2 * allowedCrashes {
+			if sound && !jobState(f.c, crashingJob).Final() { // another task starts first, and is done
+				other := batch.TaskID{Job: fmt.Sprintf("%016x", 0xf00+round)}
+				f.submit(other.Job, 0, at, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
+				f.planAndCommit(at)
+				at += time.Second
+				f.reportEverywhere(at)
+				f.endRun(other, 1, at, batch.OutcomeDone)
+			}
+			f.planAndCommit(at)
+			if x := f.c.jobs[crashingJob].findTask(id); x != nil && x.phase == assigned {
+				at = f.crash(x.node, at+10*time.Millisecond)
+				crashes++
+			}
+		}
 		if state := jobState(f.c, crashingJob); state != batch.Failed || crashes != want {
 			t.Errorf("sound %v: job is %s after %d crashes, want failed after %d", sound, state, crashes, want)
 		}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -49,7 +49,7 @@
 			return
 		}
 		x := TaskExplanation{Task: t.id.String(), Phase: names[t.phase], Run: t.run, Node: t.node, Percent: t.percent,
-			Failures: t.failures, Crashes: t.crash.Crashes, Reason: t.reason}
+			Failures: t.failures, Crashes: t.crashes(), Reason: t.reason}
 		switch {
 		case t.phase == assigned && t.confirmed:
 			x.Phase = "running"
--- a/internal/scheduler/invariants_test.go
+++ b/internal/scheduler/invariants_test.go
@@ -135,6 +135,57 @@
 	}
 }
 
+// Guards against jobs that are given up although they could run: only tasks that crash their workers are, also across
+// takeovers and an outage of the store. No worker crashes for another reason here, and no task fails by itself.
+func TestOnlyTasksThatCrashWorkersAreGivenUp(t *testing.T) {
+	givenUp := 0
+	for _, seed := range seeds() {
+		s := newSim(t, seed, 8)
+		s.crashRng = rand.New(rand.NewPCG(seed, 2))
+		for n := range 40 {
+			s.after(s.between(0, 30*time.Second), func() { s.submit(s.randomJob(n)) })
+		}
+		for range 2 {
+			s.after(s.between(time.Second, 35*time.Second), func() {
+				if s.core == nil {
+					return
+				}
+				s.core = nil
+				s.after(s.between(50*time.Millisecond, 3*time.Second), s.electLeader)
+			})
+			cut := s.workers[s.rng.IntN(len(s.workers))]
+			s.after(s.between(time.Second, 35*time.Second), func() {
+				cut.partitionedUntil = s.now + s.between(time.Second, 9*time.Second)
+			})
+		}
+		s.after(s.between(time.Second, 35*time.Second), func() {
+			s.storeDownUntil = s.now + s.between(time.Second, 6*time.Second)
+		})
+		s.recoveredAt = time.Hour // members of gangs may end alone
+		s.advance(100 * time.Second)
+		for id, j := range s.core.jobs {
+			culprit := false
+			for task := range s.crashDelays {
+				culprit = culprit || task.Job == id
+			}
+			switch {
+			case j.state == batch.Failed && !culprit:
+				t.Errorf("seed %d: %s has failed: %s", seed, id, j.failure)
+			case !j.state.Final():
+				t.Errorf("seed %d: %s is %s: %s", seed, id, j.state, describeTasks(j))
+			case j.state == batch.Failed:
+				givenUp++
+			}
+		}
+		for _, b := range s.checker.Violations() {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	}
+	if givenUp == 0 {
+		t.Error("no job was given up")
+	}
+}
+
 // Without faults the members of a gang start within GangWait, and none ends because others are missing.
 func TestGangStartsTogether(t *testing.T) {
 	s := newSim(t, 7, 4)
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -21,7 +21,7 @@
 func (t *task) suspect() bool { return t.crash.Suspected || len(t.crash.Accusations) > 0 }
 
 // isolated reports whether a task does not share its worker.
-func (t *task) isolated() bool { return t.crash.Crashes >= isolateAfterCrashes }
+func (t *task) isolated() bool { return t.crashes() >= isolateAfterCrashes }
 
 // starting reports whether the present run of a task has not lasted for startupTime yet.
 func (t *task) starting(now time.Duration) bool {
