soak: tasks that crash their workers, workers that shrink and ignore their capacity

Cause: the soak had neither, so real processes were never seen under them.

The checker judges both.

--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -19,6 +19,8 @@
 
 const (
 	eventLeaseExtended    eventKind = "extended"
+	eventCapacityChanged  eventKind = "capacity"
+	eventTaskCrashed      eventKind = "crashed"
 	eventRunStarted       eventKind = "started"
 	eventRunEnded         eventKind = "ended"
 	eventEndsAcknowledged eventKind = "noted"
@@ -38,6 +40,8 @@
 	Outcome batch.Outcome `json:"how,omitempty"`
 	Number  int64         `json:"number,omitempty"` // of the end of a run, as in standin.Observer
 	Key     string        `json:"key,omitempty"`
+	// Accelerators is the new capacity of a worker.
+	Accelerators int `json:"acc,omitempty"`
 }
 
 // writeEvent writes an event to standard output. Callers call it before the action that it reports has an effect
@@ -133,6 +137,10 @@
 	switch e.Kind {
 	case eventLeaseExtended:
 		c.LeaseExtended(name, r.sinceStart(time.UnixMicro(e.Until)))
+	case eventCapacityChanged:
+		c.CapacityChanged(name, batch.Resources{Accelerators: e.Accelerators}, at)
+	case eventTaskCrashed:
+		c.TaskCrashedWorker(task)
 	case eventRunStarted:
 		c.RunStarted(name, task, e.Run, e.Payload, at)
 	case eventRunEnded:
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -31,6 +31,8 @@
 	// cancelShare is the share of jobs that are cancelled, cancelDelay the time between submission and cancellation.
 	cancelShare = 0.15
 	cancelDelay = 500 * time.Millisecond
+	// crashShare is the share of jobs whose tasks crash their workers.
+	crashShare = 0.08
 	// temporaryKeyShare is the share of submissions whose first attempt uses temporaryKey.
 	temporaryKeyShare = 0.3
 	// maxTaskMS bounds the random part of the run time of a task, in milliseconds. Jobs of two steps have a fixed run
@@ -40,16 +42,21 @@
 	statePollInterval = 100 * time.Millisecond
 )
 
-// newJob returns a job of one of two shapes, drawn at random.
+// newJob returns a job of one of three shapes, drawn at random.
 func (r *run) newJob(id int) *soakJob {
 	name := fmt.Sprintf("%016x", id)
+	need := batch.Resources{Accelerators: 1}
+	if r.rng.Float64() < crashShare {
+		return &soakJob{id: id, body: standin.CrashingJob(), spec: batch.Job{ID: name, Payload: standin.CrashingPayload,
+			Steps: []batch.Step{{Count: 2, Need: need}}}}
+	}
 	if r.rng.IntN(2) == 0 {
 		ms := 200 + r.rng.IntN(maxTaskMS)
 		return &soakJob{id: id, body: standin.FourTaskJob(ms), spec: batch.Job{ID: name, Payload: fmt.Sprint(ms),
-			Steps: []batch.Step{{Count: 4}}}}
+			Steps: []batch.Step{{Count: 4, Need: need}}}}
 	}
 	return &soakJob{id: id, body: standin.TwoStepJob, spec: batch.Job{ID: name, Payload: "300",
-		Steps: []batch.Step{{Count: 3}, {Count: 2, Gang: true, After: []int{0}}}}}
+		Steps: []batch.Step{{Count: 3, Need: need}, {Count: 2, Gang: true, After: []int{0}, Need: need}}}}
 }
 
 // startLoad starts callers that submit jobs at random times while faults are injected, and cancel some of them.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -57,6 +57,9 @@
 	// maxStartAfterCancel is how long after the acknowledgement of a cancellation a task may still start. It covers a
 	// start request in flight and its lease.
 	maxStartAfterCancel = 9 * time.Second
+	// maxStartAfterShrink is the same for the capacity of a worker that has shrunk, which it announces with its next
+	// heartbeat.
+	maxStartAfterShrink = maxStartAfterCancel + heartbeatInterval
 )
 
 // run is the state of one soak run.
@@ -80,7 +83,8 @@
 func Run(ctx context.Context, o Options) ([]string, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), ctx: ctx, recorder: newRecorder(rulecheck.Limits{
-		MaxAttempts: maxAttempts, MaxStartAfterCancel: maxStartAfterCancel, MaxKeyUseAfterRemoval: revocationTimeout})}
+		MaxAttempts: maxAttempts, MaxStartAfterCancel: maxStartAfterCancel, MaxKeyUseAfterRemoval: revocationTimeout,
+		MaxStartAfterShrink: maxStartAfterShrink})}
 	defer r.background.Wait()
 	defer cancel()
 	if err := r.start(); err != nil {
@@ -149,7 +153,7 @@
 	id := fmt.Sprint("i-", n)
 	w, err := r.newStandin("worker-"+fmt.Sprint(n), "worker", "--id", id, "--rack", fmt.Sprint("r", n/workersPerRack),
 		"--listen", agent.settings.WorkerAddress(), "--control", agent.settings.ControlAddress(),
-		"--ballast", fmt.Sprint(r.options.BallastMB))
+		"--ballast", fmt.Sprint(r.options.BallastMB), fmt.Sprint("--ignore-capacity=", n%2 == 0))
 	if err != nil {
 		return err
 	}
--- a/internal/soak/standins.go
+++ b/internal/soak/standins.go
@@ -25,6 +25,9 @@
 	heartbeatInterval = 300 * time.Millisecond
 	// workerAccelerators is the number of accelerators per worker.
 	workerAccelerators = 4
+	// meanTimeToShrink is the mean time until a worker shrinks, meanShrinkTime the mean time until it grows again.
+	meanTimeToShrink = 6 * time.Second
+	meanShrinkTime   = 8 * time.Second
 	// meanChangeInterval is the mean time between two changes of the configuration.
 	meanChangeInterval = 1500 * time.Millisecond
 	// temporaryKey is an API key that configurations add and remove in turn.
@@ -39,22 +42,36 @@
 	pathCompact = "/compact"
 )
 
-// RunWorker runs one worker until ctx ends and writes its events to standard output. It occupies ballastMB MiB of
-// memory, for runs near the memory limit of the machine.
-func RunWorker(ctx context.Context, id, rack, listen, control string, ballastMB int) error {
+// RunWorker runs one worker until ctx ends or a task crashes it, and writes its events to standard output. It occupies
+// ballastMB MiB of memory, for runs near the memory limit of the machine.
+func RunWorker(ctx context.Context, id, rack, listen, control string, ballastMB int, ignoreCapacity bool) error {
 	ballast := make([]byte, ballastMB<<20)
 	for at := 0; at < len(ballast); at += os.Getpagesize() {
 		ballast[at] = 1 // touch the page, so that it is allocated
 	}
 	defer runtime.KeepAlive(ballast)
 	w := &standin.Worker{ID: id, Service: "s", Rack: rack, GPUs: workerAccelerators, MaxLease: maxLease,
-		Observer: workerEvents{}}
+		IgnoresCapacity: ignoreCapacity, Observer: workerEvents{}, Crash: func(task string) {
+			writeEvent(event{Kind: eventTaskCrashed, Task: task})
+			os.Exit(1)
+		}}
 	w.Boot()
 	go w.Run(ctx)
+	go resizeWorker(ctx, w)
 	go w.SendHeartbeats(ctx, control, heartbeatInterval)
 	return listenAndServe(ctx, listen, w.Handler())
 }
 
+// resizeWorker lets a worker shrink and grow until ctx ends.
+func resizeWorker(ctx context.Context, w *standin.Worker) {
+	for ctx.Err() == nil {
+		wait.For(ctx, time.Duration(rand.Float64()*2*float64(meanTimeToShrink)))
+		w.Resize(rand.IntN(workerAccelerators))
+		wait.For(ctx, time.Duration(rand.Float64()*2*float64(meanShrinkTime)))
+		w.Resize(workerAccelerators)
+	}
+}
+
 // workerEvents writes the events of a worker to standard output.
 type workerEvents struct{}
 
@@ -63,6 +80,9 @@
 func (workerEvents) LeaseExtended(until time.Time) {
 	writeEvent(event{Kind: eventLeaseExtended, Until: until.UnixMicro()})
 }
+func (workerEvents) CapacityChanged(gpus int) {
+	writeEvent(event{Kind: eventCapacityChanged, Accelerators: gpus})
+}
 func (workerEvents) RunStarted(task string, run int, payload string) {
 	writeEvent(event{Kind: eventRunStarted, Task: task, Run: run, Payload: payload})
 }
