scheduler: isolated tasks yield to guaranteed work

What callers could see: an urgent job within its team's guarantee waited for a task that had a worker for itself after three crashes, as long as that ran.

Cause: the worker of an isolated task was kept from all other units, so preemption could not choose it.

Change: units within a guarantee may use such a worker and preempt the task. Others are kept from it as before.

--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -39,6 +39,7 @@
 	need                     batch.Resources
 	tasks                    int
 	gang, oneRack, remote    bool
+	guaranteed               bool
 }
 
 // shapeOf returns the shape of n tasks of a unit. ok is false if the result also depends on the placement of other
@@ -46,5 +47,5 @@
 func shapeOf(u unit, n int) (sh shape, ok bool) {
 	s := u.step.spec
 	return shape{service: u.queue.Service, label: s.RequiredLabel, dataRack: s.DataRack, need: s.Reserved(), tasks: n,
-		gang: s.Gang, oneRack: s.OneRack}, s.MaxPerWorker == 0 && !u.lastAttempt && !u.suspect && !u.isolated
+		gang: s.Gang, oneRack: s.OneRack, guaranteed: u.guaranteed}, s.MaxPerWorker == 0 && !u.lastAttempt && !u.suspect && !u.isolated
 }
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -254,3 +254,26 @@
 		}
 	}
 }
+
+// Guards against an isolated task that keeps a worker from the jobs of a team's guarantee, which must start in time.
+func TestIsolatedTaskYieldsToGuaranteedWork(t *testing.T) {
+	const urgentJob = "00000000000000c4"
+	f := newFixture(t, "a")
+	f.c.catalog.Teams = []batch.Team{{Name: "team", GuaranteedAccelerators: fixtureAccelerators}}
+	f.submit(crashingJob, 1, 0, batch.Step{Count: 1, Estimate: time.Minute, Need: batch.Resources{Accelerators: 1}})
+	isolated := f.c.jobs[crashingJob].findTask(batch.TaskID{Job: crashingJob})
+	for n := range isolateAfterCrashes {
+		isolated.crash.Crashed = append(isolated.crash.Crashed, batch.Incarnation{ID: "x", StartedMS: int64(n)})
+	}
+	f.planAndCommit(0)
+	at := time.Second
+	f.reportEverywhere(at)
+	b := batch.Job{ID: urgentJob, Team: "team", Queue: simQueue(0), AcceptedAt: f.wall.Add(at), Steps: []batch.Step{{
+		Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: fixtureAccelerators}}}}
+	if err := f.c.AddJob(b, nil, 0, at, b.AcceptedAt); err != nil {
+		t.Fatal(err)
+	}
+	if orders := f.planAndCommit(at); len(orders) != 1 || orders[0].Kind != OrderStop {
+		t.Errorf("orders %v, want the stop of the isolated task", orders)
+	}
+}
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -28,8 +28,8 @@
 	return t.phase == assigned && (!t.confirmed || now-t.startedAt <= startupTime)
 }
 
-// noteStarts records whether runs are starting on a worker, and withholds the worker while a suspect is starting or an
-// isolated task is in progress there.
+// noteStarts records whether runs are starting on a worker, or isolated tasks in progress, and withholds the worker while
+// a suspect is starting there.
 func (p *planner) noteStarts(w *worker) {
 	for t := range w.tasks {
 		if t.starting(p.now) {
@@ -38,9 +38,7 @@
 				p.withhold(w.node)
 			}
 		}
-		if t.isolated() {
-			p.withhold(w.node)
-		}
+		p.isolatedOn[w.node] = p.isolatedOn[w.node] || t.isolated()
 	}
 }
 
@@ -62,16 +60,18 @@
 	return all
 }
 
-// keepsApart reports whether a unit must not start on a worker for now: it is suspect and other runs are starting there,
-// or it is isolated and other runs are in progress.
+// keepsApart reports whether a unit must not start on a worker for now: an isolated task is in progress there and the
+// unit is not within a guarantee, the unit is suspect and other runs are starting there, or it is isolated and other runs
+// are in progress.
 func (p *planner) keepsApart(u unit, w *worker) bool {
-	return u.suspect && p.now < u.apartUntil && p.startingOn[w.node] ||
+	return !u.anywhere && !u.guaranteed && p.isolatedOn[w.node] ||
+		u.suspect && p.now < u.apartUntil && p.startingOn[w.node] ||
 		u.isolated && (len(w.tasks) > 0 || p.startingOn[w.node])
 }
 
 // relaxed returns the unit without the conditions on the other runs of its workers.
 func (u unit) relaxed(now time.Duration) unit {
-	u.isolated, u.apartUntil = false, now
+	u.anywhere, u.isolated, u.apartUntil = true, false, now
 	return u
 }
 
@@ -99,7 +99,7 @@
 // emptyWorkersFor withholds the workers that are idle first and together hold n tasks of an isolated unit.
 func (p *planner) emptyWorkersFor(u unit, n int) {
 	need := u.step.spec.Reserved()
-	u.suspect, u.isolated = false, false
+	u.suspect, u.isolated, u.anywhere = false, false, true
 	cs := p.eligible(u, p.free, false, true)
 	idleAfter := map[string]time.Duration{}
 	for _, c := range cs {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -36,7 +36,7 @@
 func (c *Core) newPlanner(now time.Duration) *planner {
 	p := &planner{core: c, now: now, free: map[string]batch.Resources{}, capacities: map[string]*serviceCapacity{},
 		reservedFrom: map[string]time.Duration{}, noFit: map[shape]time.Duration{}, fitsNear: map[shape]bool{},
-		withheld: map[string]batch.Resources{}, startingOn: map[string]bool{}}
+		withheld: map[string]batch.Resources{}, startingOn: map[string]bool{}, isolatedOn: map[string]bool{}}
 	for _, w := range c.sortedWorkers {
 		if w.usable(now) {
 			p.addWorker(w)
@@ -61,6 +61,7 @@
 	releases         []capacityRelease          // nil until upcomingReleases is called
 	withheld         map[string]batch.Resources // free capacity of workers that are kept for suspects
 	startingOn       map[string]bool            // workers on which runs are starting
+	isolatedOn       map[string]bool            // workers on which isolated tasks are in progress
 	// headroom is the number of accelerators that less urgent units leave free while they can wait.
 	headroom float64
 }
@@ -259,7 +260,7 @@
 			empty[w.node] = w.largest
 		}
 	}
-	u.suspect, u.isolated = false, false
+	u.suspect, u.isolated, u.anywhere = false, false, true
 	cs := p.candidates(u, empty, false)
 	fits := false
 	if s.Gang && s.OneRack {
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -21,6 +21,7 @@
 	suspect     bool            // one of the tasks was starting when a worker crashed
 	apartUntil  time.Duration   // until when a suspect unit waits for workers on which no other run is starting
 	isolated    bool            // the tasks do not share their workers with others
+	anywhere    bool            // the unit may start beside isolated tasks
 }
 
 // units returns the units that can be placed, the most urgent first.
