--- a/cmd/masticcart/platform.go
+++ b/cmd/masticcart/platform.go
@@ -72,9 +72,12 @@
 	ms := func(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
 	rows := [][]string{{"job", string(explanation.State), fmt.Sprintf("queue %s, priority %d, waited %s, objective %s",
 		explanation.Queue, explanation.Priority, ms(explanation.WaitedMS), ms(explanation.ObjectiveMS))}}
+	if explanation.Reason != "" {
+		rows = append(rows, []string{"reason", "", explanation.Reason})
+	}
 	for _, t := range explanation.Tasks {
-		rows = append(rows, []string{t.Task, t.Phase, strings.TrimSpace(fmt.Sprintf("%s run %d, %d%%, %d failed %s",
-			t.Node, t.Run, t.Percent, t.Failures, t.Reason))})
+		rows = append(rows, []string{t.Task, t.Phase, strings.TrimSpace(fmt.Sprintf(
+			"%s run %d, %d%%, %d failed, %d crashes %s", t.Node, t.Run, t.Percent, t.Failures, t.Crashes, t.Reason))})
 	}
 	return a.printRows(cmd, explanation, []string{"what", "state", "detail"}, rows)
 }
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,6 +65,9 @@
 	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes > allowedCrashes || crashes < 2 {
 		t.Fatalf("job is %s after %d crashes, want failed after 2 to %d", state, crashes, allowedCrashes)
 	}
+	if e, ok := f.c.Explain(crashingJob, 0); !ok || !strings.Contains(e.Reason, "crashed") {
+		t.Errorf("the explanation %+v does not name the crashes", e)
+	}
 }
 
 // Guards against a leader that counts the crashes under a task from zero after it has taken over.
