scheduler: usual terms for the attribution of crashes

Cause: verdict already means a worker's answer to an order, and accusation and blame are figurative.

No behaviour changes.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -16,7 +16,7 @@
 	// startupTime is how long after its start a run counts as starting. A worker that crashes within it may have crashed
 	// because of the run; a run that outlives it clears its task of the crashes that were attributed to it.
 	startupTime = 500 * time.Millisecond
-	// maxAttributedCrashes is the number of crashes attributed to a task, on different or on sound workers, after which it
+	// maxAttributedCrashes is the number of crashes attributed to a task, on different or on healthy workers, after which it
 	// is given up. maxAttributedOnOneWorker applies otherwise.
 	maxAttributedCrashes     = 2
 	maxAttributedOnOneWorker = 3
@@ -45,7 +45,7 @@
 	// downSince is when the worker stopped answering its agent, or never if this leader has not observed it.
 	downSince time.Duration
 	announced bool // the worker had announced that it leaves
-	sound     bool // a run had outlived its start on the incarnation
+	healthy   bool // a run had outlived its start on the incarnation
 }
 
 // crash is the unannounced end of an incarnation of a worker.
@@ -61,8 +61,8 @@
 // crashHistory is what a task has to do with crashes of workers. It is part of the job's record.
 type crashHistory struct {
 	// Crashed lists the incarnations that crashed with a run of the task, whatever the cause.
-	Crashed     []batch.Incarnation `json:"n,omitempty"`
-	Accusations []accusation        `json:"a,omitempty"` // crashes since the last run that has outlived its start
+	Crashed          []batch.Incarnation `json:"n,omitempty"`
+	SuspectedCrashes []suspectedCrash    `json:"a,omitempty"` // crashes since the last run that has outlived its start
 	// Suspected means that a run was starting, or may have been, when a worker crashed, and none has outlived its start
 	// since.
 	Suspected    bool             `json:"s,omitempty"`
@@ -70,28 +70,28 @@
 	IsolatedRuns int              `json:"r,omitempty"` // runs that have ended since the task is isolated
 }
 
-// accusation is a crash that a task may have caused, since its run was starting.
-type accusation struct {
+// suspectedCrash is a crash that a task may have caused, since its run was starting.
+type suspectedCrash struct {
 	Node string `json:"n"`
 	// Others are the tasks of other jobs that may have caused the crash instead. The crash is attributed to the task if
 	// there are none, or once all of them are cleared.
 	Others []batch.TaskID `json:"o,omitempty"`
-	// Sound means that runs of other tasks had outlived their start on the same incarnation of the worker.
-	Sound bool `json:"s,omitempty"`
+	// Healthy means that runs of other tasks had outlived their start on the same incarnation of the worker.
+	Healthy bool `json:"s,omitempty"`
 }
 
-// verdict is what a crash says of a task with a run on the crashed worker.
-type verdict struct {
-	Incarnation batch.Incarnation `json:"i"`
-	Suspected   bool              `json:"s,omitempty"` // the run was starting, or its start was not answered
-	Accusation  *accusation       `json:"a,omitempty"` // nil unless the run was certainly starting
+// attribution is what a crash says of a task with a run on the crashed worker.
+type attribution struct {
+	Incarnation    batch.Incarnation `json:"i"`
+	Suspected      bool              `json:"s,omitempty"` // the run was starting, or its start was not answered
+	SuspectedCrash *suspectedCrash   `json:"a,omitempty"` // nil unless the run was certainly starting
 }
 
 // unresolvedLoss is a run that was lost with a silent worker, of which it is not known whether it has crashed. That is
 // known when the worker is reached again.
 type unresolvedLoss struct {
-	Node    string  `json:"n"`
-	Verdict verdict `json:"v"` // if the worker has crashed
+	Node        string      `json:"n"`
+	Attribution attribution `json:"v"` // if the worker has crashed
 }
 
 // unexplainedCrash is a crash of a worker on which no run was starting.
@@ -142,27 +142,27 @@
 	return slices.ContainsFunc(t.crash.Crashed, func(i batch.Incarnation) bool { return slices.Contains(o.crash.Crashed, i) })
 }
 
-// verdictOn returns what the crash says of one of its victims. Others that may have caused it are those that were
+// attributionOf returns what the crash says of one of its victims. Others that may have caused it are those that were
 // starting as well, and, since a task may also crash its worker later, those that have lost several workers or were
 // there at an earlier crash under the task.
-func (c *Core) verdictOn(t *task, cr *crash) verdict {
-	v := verdict{Incarnation: t.incarnation, Suspected: slices.Contains(cr.suspects, t)}
-	if !v.Suspected || !t.confirmed {
-		return v
+func (c *Core) attributionOf(t *task, cr *crash) attribution {
+	a := attribution{Incarnation: t.incarnation, Suspected: slices.Contains(cr.suspects, t)}
+	if !a.Suspected || !t.confirmed {
+		return a
 	}
-	v.Accusation = &accusation{Node: cr.worker.node, Sound: cr.sound}
+	a.SuspectedCrash = &suspectedCrash{Node: cr.worker.node, Healthy: cr.healthy}
 	for _, o := range cr.victims {
 		if o.id.Job != t.id.Job &&
 			(o.crashes() >= repeatedCrashes || t.sharesCrash(o) || slices.Contains(cr.suspects, o)) {
-			v.Accusation.Others = append(v.Accusation.Others, o.id)
+			a.SuspectedCrash.Others = append(a.SuspectedCrash.Others, o.id)
 		}
 	}
-	return v
+	return a
 }
 
 // attributed returns the crashes that are attributed to a task.
-func (c *Core) attributed(t *task) []accusation {
-	return slices.DeleteFunc(slices.Clone(t.crash.Accusations), func(a accusation) bool {
+func (c *Core) attributed(t *task) []suspectedCrash {
+	return slices.DeleteFunc(slices.Clone(t.crash.SuspectedCrashes), func(a suspectedCrash) bool {
 		return slices.ContainsFunc(a.Others, func(id batch.TaskID) bool { return !c.isCleared(id) })
 	})
 }
@@ -202,36 +202,36 @@
 	}
 	c.stats.Crashed++
 	cr := c.newCrash(w, *ended, lost)
-	verdicts := make([]verdict, len(cr.victims))
+	attributions := make([]attribution, len(cr.victims))
 	for i, t := range cr.victims {
-		verdicts[i] = c.verdictOn(t, cr)
+		attributions[i] = c.attributionOf(t, cr)
 	}
 	for i, t := range cr.victims {
-		c.countCrash(t, verdicts[i])
+		c.countCrash(t, attributions[i])
 		if t.crashes() == isolateAfterCrashes {
 			t.crash.IsolatedRuns = -1 // the run that has crashed is counted when it ends
 		}
 		t.crashConclusive = cr.conclusiveFor(t, now)
 	}
 	cr.log(now)
-	c.blameWorker(cr, now)
+	c.countWorkerCrash(cr, now)
 }
 
 // countCrash counts a crash of a worker under a task.
-func (c *Core) countCrash(t *task, v verdict) {
-	if v.Accusation != nil {
-		t.crash.Accusations = append(t.crash.Accusations, *v.Accusation)
-		t.avoid(v.Accusation.Node)
+func (c *Core) countCrash(t *task, a attribution) {
+	if a.SuspectedCrash != nil {
+		t.crash.SuspectedCrashes = append(t.crash.SuspectedCrashes, *a.SuspectedCrash)
+		t.avoid(a.SuspectedCrash.Node)
 	}
-	t.crash.Crashed = append(t.crash.Crashed, v.Incarnation)
-	t.crash.Suspected = t.crash.Suspected || v.Suspected
+	t.crash.Crashed = append(t.crash.Crashed, a.Incarnation)
+	t.crash.Suspected = t.crash.Suspected || a.Suspected
 	t.step.job().dirty = true
 	c.suspects[t] = struct{}{}
 }
 
-// blameWorker counts a crash against its worker if no run was starting there, and quarantines the worker if it has
+// countWorkerCrash counts a crash against its worker if no run was starting there, and quarantines the worker if it has
 // crashed before under other jobs. Crashes under a task that has lost several workers do not count.
-func (c *Core) blameWorker(cr *crash, now time.Duration) {
+func (c *Core) countWorkerCrash(cr *crash, now time.Duration) {
 	w := cr.worker
 	w.unexplained = slices.DeleteFunc(w.unexplained, func(u unexplainedCrash) bool { return now-u.at >= crashMemory })
 	if len(cr.suspects) > 0 || cr.mass || cr.downSince == never || w.hasUnresolved {
@@ -256,9 +256,10 @@
 
 // deferCrash remembers the runs that are lost with a silent worker until it is known whether it has crashed.
 func (c *Core) deferCrash(w *worker) {
-	cr := c.newCrash(w, endedIncarnation{incarnation: w.incarnation(), downSince: w.downSince, sound: w.sound}, w.sortedTasks())
+	ended := endedIncarnation{incarnation: w.incarnation(), downSince: w.downSince, healthy: w.healthy}
+	cr := c.newCrash(w, ended, w.sortedTasks())
 	for _, t := range cr.victims {
-		t.crash.Unresolved = append(t.crash.Unresolved, unresolvedLoss{w.node, c.verdictOn(t, cr)})
+		t.crash.Unresolved = append(t.crash.Unresolved, unresolvedLoss{w.node, c.attributionOf(t, cr)})
 		c.suspects[t] = struct{}{}
 		w.hasUnresolved = true
 	}
@@ -277,10 +278,10 @@
 			if u.Node != w.node {
 				return false
 			}
-			if u.Verdict.Incarnation != w.info.Incarnation && !announced {
-				klog.InfoS("Worker had crashed", "node", w.node, "worker", u.Verdict.Incarnation, "task", t.id,
-					"starting", u.Verdict.Suspected)
-				c.countCrash(t, u.Verdict)
+			if u.Attribution.Incarnation != w.info.Incarnation && !announced {
+				klog.InfoS("Worker had crashed", "node", w.node, "worker", u.Attribution.Incarnation, "task", t.id,
+					"starting", u.Attribution.Suspected)
+				c.countCrash(t, u.Attribution)
 			}
 			t.step.job().dirty = true
 			return true
@@ -291,9 +292,9 @@
 // noteSurvivor clears a task of crashes, and its worker of doubt, after its run has been seen to last.
 func (c *Core) noteSurvivor(w *worker, t *task, r Report) {
 	lasted := r.SentAt - t.startedAt
-	w.sound = w.sound || lasted > startupTime
+	w.healthy = w.healthy || lasted > startupTime
 	if lasted > startupTime && t.suspect() {
-		t.crash.Accusations, t.crash.Suspected, t.step.job().dirty = nil, false, true
+		t.crash.SuspectedCrashes, t.crash.Suspected, t.step.job().dirty = nil, false, true
 	}
 	if lasted > crashMemory && (t.crashes() > 0 || len(t.crash.Unresolved) > 0) {
 		t.crash, t.step.job().dirty = crashHistory{}, true
@@ -323,17 +324,17 @@
 
 // giveUpCrashingTasks fails the jobs of waiting tasks that have crashed too many workers.
 func (c *Core) giveUpCrashingTasks(now time.Duration, wall time.Time) {
-	var culprits []*task
+	var responsible []*task
 	for t := range c.suspects {
 		switch {
 		case t.phase == done || t.step.job().state.Final():
 			delete(c.suspects, t)
 		case t.phase == waiting && c.crashesWorkers(t):
-			culprits = append(culprits, t)
+			responsible = append(responsible, t)
 		}
 	}
-	slices.SortFunc(culprits, func(a, b *task) int { return a.id.Compare(b.id) })
-	for _, t := range culprits {
+	slices.SortFunc(responsible, func(a, b *task) int { return a.id.Compare(b.id) })
+	for _, t := range responsible {
 		j := t.step.job()
 		if j.state.Final() {
 			continue
@@ -352,14 +353,14 @@
 func (c *Core) crashesWorkers(t *task) bool {
 	attributed := c.attributed(t)
 	nodes := map[string]bool{}
-	sound := 0
+	onHealthy := 0
 	for _, a := range attributed {
 		nodes[a.Node] = true
-		if a.Sound {
-			sound++
+		if a.Healthy {
+			onHealthy++
 		}
 	}
-	return len(nodes) >= maxAttributedCrashes || sound >= maxAttributedCrashes ||
+	return len(nodes) >= maxAttributedCrashes || onHealthy >= maxAttributedCrashes ||
 		len(attributed) >= maxAttributedOnOneWorker ||
 		t.crashes() > isolateAfterCrashes && t.crashConclusive || t.crash.IsolatedRuns >= maxIsolatedRuns ||
 		t.crashes() >= repeatedCrashes && t.crashes()+len(t.crash.Unresolved) >= maxCrashes
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -144,32 +144,32 @@
 // Guards against crashes that cannot be attributed, since tasks that were starting when a worker crashed start together
 // again, and against the failure of a job whose tasks started beside one that crashes its workers.
 func TestSuspectsStartApart(t *testing.T) {
-	const innocentJob = "00000000000000c2"
+	const bystanderJob = "00000000000000c2"
 	f := newFixture(t, "a", "b", "c")
 	step := batch.Step{Count: 1, Estimate: 10 * time.Second, Need: batch.Resources{Accelerators: 1}}
 	f.submit(crashingJob, 1, 0, step)
-	f.submit(innocentJob, 1, 0, step)
+	f.submit(bystanderJob, 1, 0, step)
 	f.planAndCommit(0)
-	culprit := f.c.jobs[crashingJob].findTask(batch.TaskID{Job: crashingJob})
-	innocent := f.c.jobs[innocentJob].findTask(batch.TaskID{Job: innocentJob})
-	if culprit.node != innocent.node {
-		t.Fatalf("the tasks start on %s and %s, want one worker", culprit.node, innocent.node)
+	crashing := f.c.jobs[crashingJob].findTask(batch.TaskID{Job: crashingJob})
+	bystander := f.c.jobs[bystanderJob].findTask(batch.TaskID{Job: bystanderJob})
+	if crashing.node != bystander.node {
+		t.Fatalf("the tasks start on %s and %s, want one worker", crashing.node, bystander.node)
 	}
-	at := f.crash(culprit.node, 10*time.Millisecond)
+	at := f.crash(crashing.node, 10*time.Millisecond)
 	f.planAndCommit(at)
-	if culprit.node == innocent.node || culprit.node == "" || innocent.node == "" {
-		t.Fatalf("after the crash the tasks start on %q and %q, want different workers", culprit.node, innocent.node)
+	if crashing.node == bystander.node || crashing.node == "" || bystander.node == "" {
+		t.Fatalf("after the crash the tasks start on %q and %q, want different workers", crashing.node, bystander.node)
 	}
-	crashes, at := f.crashUnder(culprit.id, at, allowedCrashes)
+	crashes, at := f.crashUnder(crashing.id, at, allowedCrashes)
 	f.reportEverywhere(at)
 	// The first crash counts once the other task has outlived its second start.
 	if state := jobState(f.c, crashingJob); state != batch.Failed || crashes != maxAttributedCrashes-1 {
 		t.Errorf("job is %s after %d more crashes, want failed after %d", state, crashes, maxAttributedCrashes-1)
 	}
-	if state := jobState(f.c, innocentJob); state.Final() {
+	if state := jobState(f.c, bystanderJob); state.Final() {
 		t.Errorf("the other job is %s", state)
 	}
-	if innocent.suspect() {
+	if bystander.suspect() {
 		t.Error("the other task is still suspect after its start")
 	}
 }
@@ -228,18 +228,18 @@
 // Guards against a task that crashes the only worker on which it fits once more than necessary, although other tasks run
 // there without harm, and against a task that is held responsible for a worker on which no task has run since its last
 // crash.
-func TestCrashesOnOneWorkerCountIfItIsSound(t *testing.T) {
-	for _, sound := range []bool{true, false} {
+func TestCrashesOnOneWorkerCountIfItIsHealthy(t *testing.T) {
+	for _, healthy := range []bool{true, false} {
 		f := newFixture(t, "a")
 		step := batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 4}}
 		f.submit(crashingJob, 1, 0, step)
 		id := batch.TaskID{Job: crashingJob}
 		crashes, at, want := 0, time.Duration(0), maxAttributedOnOneWorker
-		if sound {
+		if healthy {
 			want = maxAttributedCrashes
 		}
 		for round := range 2 * allowedCrashes {
-			if sound && !jobState(f.c, crashingJob).Final() { // another task starts first, and is done
+			if healthy && !jobState(f.c, crashingJob).Final() { // another task starts first, and is done
 				other := batch.TaskID{Job: fmt.Sprintf("%016x", 0xf00+round)}
 				f.submit(other.Job, 0, at, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 8}})
 				f.planAndCommit(at)
@@ -254,7 +254,7 @@
 			}
 		}
 		if state := jobState(f.c, crashingJob); state != batch.Failed || crashes != want {
-			t.Errorf("sound %v: job is %s after %d crashes, want failed after %d", sound, state, crashes, want)
+			t.Errorf("healthy %v: job is %s after %d crashes, want failed after %d", healthy, state, crashes, want)
 		}
 	}
 }
--- a/internal/scheduler/invariants_test.go
+++ b/internal/scheduler/invariants_test.go
@@ -164,12 +164,12 @@
 		s.recoveredAt = time.Hour // members of gangs may end alone
 		s.advance(100 * time.Second)
 		for id, j := range s.core.jobs {
-			culprit := false
+			crashing := false
 			for task := range s.crashDelays {
-				culprit = culprit || task.Job == id
+				crashing = crashing || task.Job == id
 			}
 			switch {
-			case j.state == batch.Failed && !culprit:
+			case j.state == batch.Failed && !crashing:
 				t.Errorf("seed %d: %s has failed: %s", seed, id, j.failure)
 			case !j.state.Final():
 				t.Errorf("seed %d: %s is %s: %s", seed, id, j.state, describeTasks(j))
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -18,7 +18,7 @@
 const maxSeparationWait = 2 * time.Second
 
 // suspect reports whether a task was starting when a worker crashed, and has not outlived its start since.
-func (t *task) suspect() bool { return t.crash.Suspected || len(t.crash.Accusations) > 0 }
+func (t *task) suspect() bool { return t.crash.Suspected || len(t.crash.SuspectedCrashes) > 0 }
 
 // isolated reports whether a task does not share its worker.
 func (t *task) isolated() bool { return t.crashes() >= isolateAfterCrashes }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -21,7 +21,7 @@
 	reportedAt     time.Duration // when the last report was received
 	downSince      time.Duration // since when the worker does not answer its agent, or never
 	lastDownAt     time.Duration // the last time that downSince was set, or never
-	sound          bool          // a run has outlived its start on the current incarnation
+	healthy        bool          // a run has outlived its start on the current incarnation
 	reached        bool          // this leader has received a report of the current incarnation
 	hasLeft        bool
 	lastEnd        int64 // number of the last ended run that was applied
@@ -245,7 +245,7 @@
 	if before != nil && before.Incarnation != info.Incarnation {
 		w.epoch++
 		if w.replaced == nil {
-			w.replaced = &endedIncarnation{before.Incarnation, w.downSince, before.Leaving || w.hasLeft, w.sound}
+			w.replaced = &endedIncarnation{before.Incarnation, w.downSince, before.Leaving || w.hasLeft, w.healthy}
 		}
 	}
 	if before == nil || before.Incarnation != info.Incarnation {
@@ -254,7 +254,7 @@
 		w.reached, w.hasLeft, w.lastEnd, w.recordedEnd, w.ackedEnd, w.workerClockMS, w.reportedAt =
 			false, false, 0, 0, 0, 0, 0
 		w.failedJobs, w.quarantinedUntil, w.announcedAt = 0, 0, now
-		w.orphaned, w.largest, w.sound = batch.Resources{}, info.Capacity, false
+		w.orphaned, w.largest, w.healthy = batch.Resources{}, info.Capacity, false
 		c.planNeeded = true
 		return
 	}
