--- /dev/null
+++ b/review/standins/foreign.go
@@ -0,0 +1,118 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// foreignPing lets another writer send one ping to the control address of each side machine: its service is not named
+// in the configuration, and fields are missing. It names no executor to use.
+func foreignPing(rec *recorder, trouble bool) (bool, error) {
+	const before, after = "0a0e7a21d94b36f8", "1b0e7a21d94b36f8"
+	f, err := newFleet(rec, 3, 3, retraceNeed)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return false, err
+	}
+	if err := f.submit(before, 3, 20_000); err != nil {
+		return false, err
+	}
+	if _, err := f.awaitRuns(before, 3, 5*time.Second); err != nil {
+		return false, err
+	}
+	if trouble {
+		for i, d := range f.agents {
+			f.sendForeignPing(d, fmt.Sprintf("cam-%d", i+1))
+		}
+	}
+	time.Sleep(2 * heartbeatPeriod) // at least one ping of each executor follows
+	if err := f.submit(after, 2, 2_000); err != nil {
+		return false, err
+	}
+	rec.logf("end of the traffic")
+	time.Sleep(finishTime)
+	rec.logf("finish_s after the end of the traffic")
+	// The rule is broken if the job has nothing running for 3 s although a work item's turn has come, it fits twice over
+	// and under half of the service's room is in use.
+	var idleSince time.Time
+	broken := false
+	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if f.active(after) || f.completed(after, 2) || f.inUse()*2 >= float64(len(f.executors)) {
+			idleSince = time.Time{}
+		} else if idleSince.IsZero() {
+			idleSince = time.Now()
+		}
+		if !idleSince.IsZero() && time.Since(idleSince) >= 3*time.Second {
+			broken = true
+			break
+		}
+	}
+	f.call(http.MethodGet, before, "")
+	f.call(http.MethodGet, after, "")
+	for _, e := range f.executors {
+		rec.logf("executor %s is up, with %d runs", e.life(), e.runCount())
+	}
+	if broken {
+		rec.logf("LOST: job %s has had nothing running for 3 s, with %.0f%% of the room in use", after,
+			100*f.inUse()/float64(len(f.executors)))
+	}
+	return broken, nil
+}
+
+// sendForeignPing sends a ping of another program. It lacks the slots and the sequence number.
+func (f *fleet) sendForeignPing(d *daemon, id string) {
+	data, _ := json.Marshal(map[string]any{"service": "line-camera", "address": fmt.Sprintf("%s:9100", d.ip),
+		"zone": "riga-a", "version": "7.2", "state": "ready", "capacity": map[string]int{"cpu": 500, "memMb": 512},
+		"labels": []string{}, "born": time.Now().UnixMilli()})
+	res, err := f.client.Post(fmt.Sprintf("http://%s:%d/instances/%s/heartbeat", d.ip, controlPort, id), "application/json",
+		bytes.NewReader(data))
+	status := 0
+	if err == nil {
+		status = res.StatusCode
+		_ = res.Body.Close()
+	}
+	f.rec.logf("ping of another writer to %s: %s -> %d", d.node, data, status)
+}
+
+// active reports whether a run of the job is in progress.
+func (f *fleet) active(job string) bool {
+	for _, r := range f.history.of(job) {
+		if r.endedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// completed reports whether n work items of the job have ended done.
+func (f *fleet) completed(job string, n int) bool {
+	done := map[string]bool{}
+	for _, r := range f.history.of(job) {
+		if r.how == "done" {
+			done[r.task] = true
+		}
+	}
+	return len(done) == n
+}
+
+// inUse returns how many executors' worth of room is in use, by the scarcest resource.
+func (f *fleet) inUse() float64 {
+	n := 0
+	for _, e := range f.executors {
+		n += e.runCount()
+	}
+	return float64(n) * max(float64(retraceNeed.GPU)/float64(executorRoom.GPU), float64(retraceNeed.CPU)/float64(executorRoom.CPU))
+}
+
+func (e *executor) runCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
