review: case 4, work of a departed worker stands still after a restart

Cause: a new leader assumes that the previous one may have extended the lease of each inherited task until now. It waits for the longest possible lease, 19 s, although the worker had announced its end and does not answer its agent.

--- a/review/standins/foreign.go
+++ b/review/standins/foreign.go
@@ -37,33 +37,35 @@
 		return false, err
 	}
 	rec.logf("end of the traffic")
+	broken := f.standsStill(after, 2)
+	f.call(http.MethodGet, before, "")
+	f.call(http.MethodGet, after, "")
+	for _, e := range f.executors {
+		rec.logf("executor %s is up, with %d runs", e.life(), e.runCount())
+	}
+	return broken, nil
+}
+
+// standsStill waits for finish_s and reports whether the rule LOST is broken after it: a job of n work items, none of
+// which waits for others, has nothing running for 3 s, although a work item fits twice over and under half of the room is
+// in use.
+func (f *fleet) standsStill(job string, n int) bool {
 	time.Sleep(finishTime)
-	rec.logf("finish_s after the end of the traffic")
-	// The rule is broken if the job has nothing running for 3 s although a work item's turn has come, it fits twice over
-	// and under half of the service's room is in use.
+	f.rec.logf("finish_s after the end of the traffic")
 	var idleSince time.Time
-	broken := false
 	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		if f.active(after) || f.completed(after, 2) || f.inUse()*2 >= float64(len(f.executors)) {
+		switch {
+		case f.active(job) || f.completed(job, n) || f.inUse()*2 >= float64(len(f.executors)):
 			idleSince = time.Time{}
-		} else if idleSince.IsZero() {
+		case idleSince.IsZero():
 			idleSince = time.Now()
-		}
-		if !idleSince.IsZero() && time.Since(idleSince) >= 3*time.Second {
-			broken = true
-			break
+		case time.Since(idleSince) >= 3*time.Second:
+			f.rec.logf("LOST: job %s has had nothing running for 3 s, with %.0f%% of the room in use", job,
+				100*f.inUse()/float64(len(f.executors)))
+			return true
 		}
 	}
-	f.call(http.MethodGet, before, "")
-	f.call(http.MethodGet, after, "")
-	for _, e := range f.executors {
-		rec.logf("executor %s is up, with %d runs", e.life(), e.runCount())
-	}
-	if broken {
-		rec.logf("LOST: job %s has had nothing running for 3 s, with %.0f%% of the room in use", after,
-			100*f.inUse()/float64(len(f.executors)))
-	}
-	return broken, nil
+	return false
 }
 
 // sendForeignPing sends a ping of another program. It lacks the slots and the sequence number.
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,9 +19,10 @@
 type scenario func(rec *recorder, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"cancel-at-hand-over": cancelAtHandOver,
-	"foreign-ping":        foreignPing,
-	"late-leave":          lateLeave,
+	"cancel-at-hand-over":   cancelAtHandOver,
+	"foreign-ping":          foreignPing,
+	"gone-before-hand-over": goneBeforeHandOver,
+	"late-leave":            lateLeave,
 }
 
 func main() { os.Exit(runScenario()) }
