review: case 5, a lasting task that ends done is never started again

Cause: the end "done" completes a task of a long-running step, as it does that of any other step.

An executor of the stand-ins that has ended gives no more answers.

--- a/review/standins/executor.go
+++ b/review/standins/executor.go
@@ -31,6 +31,7 @@
 	task       string
 	id         int
 	executor   string // id and start of the executor's life
+	lasts      bool   // it is at work until it is stopped or ends by itself
 	startedAt  time.Time
 	endsAt     time.Time // when its work is done
 	stoppingAt time.Time // when its stop was ordered; zero before
@@ -41,7 +42,8 @@
 func (r *run) String() string { return fmt.Sprintf("%s run %d on %s", r.task, r.id, r.executor) }
 
 // executor is one life of an executor. It guards its room, checks fencing tokens and stops its runs when its lease
-// expires. The spec of a job is the run time of its work items in milliseconds.
+// expires. The spec of a job is the run time of its work items in milliseconds, or lastingSpec followed by the time after
+// which a work item that lasts ends by itself.
 type executor struct {
 	id, service, address, control, zone, rack string
 	stopTime, maxHold, heartbeat              time.Duration
@@ -65,6 +67,12 @@
 	stopped    chan struct{}
 }
 
+// lastingSpec precedes the run time in the spec of work items that last.
+const lastingSpec = "lasting "
+
+// lastingStartup is the startup of a work item that lasts.
+const lastingStartup = 300 * time.Millisecond
+
 // history holds the runs of all executors.
 type history struct {
 	mu   sync.Mutex
@@ -176,6 +184,9 @@
 		}
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		if e.down {
+			panic(http.ErrAbortHandler) // no answer
+		}
 		if o.Fence < e.fence {
 			e.answer(w, http.StatusConflict, map[string]any{"reason": "fence"})
 			return
@@ -223,12 +234,13 @@
 	if !e.fits() {
 		return http.StatusConflict, "room"
 	}
-	ms, err := strconv.Atoi(o.Spec)
+	runTime, lasts := strings.CutPrefix(o.Spec, lastingSpec)
+	ms, err := strconv.Atoi(runTime)
 	if err != nil {
 		return http.StatusBadRequest, ""
 	}
 	now := time.Now()
-	r := &run{task: o.Task, id: o.RunID, executor: e.life(), startedAt: now,
+	r := &run{task: o.Task, id: o.RunID, executor: e.life(), lasts: lasts, startedAt: now,
 		endsAt: now.Add(time.Duration(ms) * time.Millisecond)}
 	e.running = append(e.running, r)
 	e.history.add(r)
@@ -296,6 +308,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		panic(http.ErrAbortHandler)
+	}
 	if o.Fence < e.fence {
 		e.answer(w, http.StatusConflict, map[string]any{"reason": "fence"})
 		return
@@ -315,7 +330,10 @@
 	running := [][]any{}
 	for _, r := range e.running {
 		percent := int(100 * time.Since(r.startedAt) / r.endsAt.Sub(r.startedAt))
-		running = append(running, []any{r.task, r.id, "", min(percent, 99), e.need.CPU})
+		if r.lasts && time.Since(r.startedAt) > lastingStartup {
+			percent = 100
+		}
+		running = append(running, []any{r.task, r.id, "", min(percent, 100), e.need.CPU})
 	}
 	ended := append([][]any{}, e.ended...)
 	e.answer(w, http.StatusOK, map[string]any{"running": running, "endedRuns": ended[:min(len(ended), 500)]})
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -442,8 +442,17 @@
 
 // submit hands in a job of one step and fails unless it is accepted.
 func (f *fleet) submit(id string, count, runMS int) error {
-	body := fmt.Sprintf(`{"spec":"%d","steps":[{"count":%d,"cpu":%d,"memMb":%d,"gpu":%d,"estimateMs":%d}]}`, runMS, count,
-		retraceNeed.CPU, retraceNeed.MemMB, retraceNeed.GPU, runMS)
+	return f.submitBody(id, fmt.Sprintf(`{"spec":"%d","steps":[{"count":%d,"cpu":%d,"memMb":%d,"gpu":%d,"estimateMs":%d}]}`,
+		runMS, count, retraceNeed.CPU, retraceNeed.MemMB, retraceNeed.GPU, runMS))
+}
+
+// submitLasting hands in a job of one step of work items that last. Each ends by itself after a time.
+func (f *fleet) submitLasting(id string, count, endMS int) error {
+	return f.submitBody(id, fmt.Sprintf(`{"spec":"%s%d","steps":[{"count":%d,"cpu":%d,"memMb":%d,"gpu":%d,"perpetual":true}]}`,
+		lastingSpec, endMS, count, retraceNeed.CPU, retraceNeed.MemMB, retraceNeed.GPU))
+}
+
+func (f *fleet) submitBody(id, body string) error {
 	if status, answer := f.call(http.MethodPost, id, body); status != http.StatusOK {
 		return fmt.Errorf("job %s was not accepted: %d %s", id, status, answer)
 	}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,6 +22,7 @@
 	"cancel-at-hand-over":   cancelAtHandOver,
 	"foreign-ping":          foreignPing,
 	"gone-before-hand-over": goneBeforeHandOver,
+	"lasting-end":           lastingEnd,
 	"late-leave":            lateLeave,
 }
 
