intake, scheduler: start nothing in data centres that operators evacuate

Change: the watcher of the configuration follows all keys of the operators with the same one call. What is known of the requests permits starts until the bound of the settings after its confirmation; a start order has the end of the permission as its deadline on the worker's clock, so that orders which are queued, frozen or cut off are rejected by the worker.

--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -68,8 +68,8 @@
 
 func newMetrics(s *settings.Settings) *telemetry.Metrics { return telemetry.NewMetrics(s) }
 
-func newCatalogWatcher(store kvstore.Store) *intake.CatalogWatcher {
-	return intake.NewCatalogWatcher(store, platform.KeyConfiguration, platform.DecodeCatalog)
+func newCatalogWatcher(s *platform.Settings, store kvstore.Store) *intake.CatalogWatcher {
+	return intake.NewCatalogWatcher(store, s.OperatorKeys(), platform.DecodeCatalog)
 }
 
 func newScheduler(s *platform.Settings, store kvstore.Store, watcher *intake.CatalogWatcher, m *telemetry.Metrics,
@@ -85,7 +85,8 @@
 		RemoteFactor:        b.RemoteFactor,
 		FinalStateRetention: platform.Seconds(b.StatusS),
 		RestoreTime:         platform.Milliseconds(b.RestoreMS),
-	}, watcher.Catalog, meter, scheduler.NewMetrics(m.Scope))
+		EvacuationBound:     platform.Milliseconds(b.EvacuateMS),
+	}, watcher, meter, scheduler.NewMetrics(m.Scope))
 }
 
 func newElection(s *platform.Settings, store kvstore.Store, sched *scheduler.Service, m *rpc.Meter) *election.Election {
--- a/internal/intake/store_silence_test.go
+++ b/internal/intake/store_silence_test.go
@@ -83,7 +83,7 @@
 	}); err != nil {
 		t.Fatal(err)
 	}
-	catalogs := NewCatalogWatcher(store, testConfigKey, func([]byte) (*batch.Catalog, error) {
+	catalogs := NewCatalogWatcher(store, OperatorKeys{Configuration: testConfigKey}, func([]byte) (*batch.Catalog, error) {
 		return &batch.Catalog{Version: 1, MaxBodyBytes: 1000,
 			Queues: []batch.Queue{{Name: "q", Host: "host", PathPrefix: "/q/", Public: true, Service: "s"}}}, nil
 	})
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/kvstore"
 )
 
@@ -36,6 +37,9 @@
 	FinalStateRetention time.Duration
 	// RestoreTime is how long a task takes to resume from a checkpoint.
 	RestoreTime time.Duration
+	// EvacuationBound is the time from the acknowledgement of a request to evacuate a data centre after which nothing may
+	// start there. Zero means that the deployment does not use such requests.
+	EvacuationBound time.Duration
 }
 
 // clockDriftFactor allows for a worker's clock that runs 2% slow.
@@ -82,6 +86,8 @@
 	stats              Stats
 	lostWork           map[LossCause]float64 // core-seconds
 	suspects           map[*task]struct{}    // tasks with crashes or unresolved losses
+	evacuations        evacuation.View
+	startsHeld         bool // nothing may start, see mayStart
 }
 
 // Stats counts events of runs and tasks since the leader took over.
@@ -345,7 +351,7 @@
 func (c *Core) sendableOrders(recorded []Order, now time.Duration) []Order {
 	for _, o := range recorded {
 		if t := c.currentTask(o); t != nil && t.phase == assigned {
-			if reason := c.workers[t.node].rejectReason(t, now); reason != "" {
+			if reason := c.rejectReason(c.workers[t.node], t, now); reason != "" {
 				c.withdrawStart(t, reason, now)
 			}
 		}
--- /dev/null
+++ b/internal/scheduler/evacuation_test.go
@@ -0,0 +1,140 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/evacuation"
+	"masticcart.example/masticcart/internal/kvstore"
+)
+
+const testEvacuationBound = 5 * time.Second
+
+// evacuationFixture returns a fixture with one worker in each of the data centres a and b, and evacuation in use.
+func evacuationFixture(t *testing.T) *fixture {
+	f := newFixture(t)
+	f.c.config.EvacuationBound = testEvacuationBound
+	f.nodes = []string{"w-a", "w-b"}
+	f.cells = map[string]string{"w-a": "a", "w-b": "b"}
+	f.confirm(0)
+	f.reportEverywhere(0)
+	return f
+}
+
+// confirm sets the requests in force as the store confirms them at a time.
+func (f *fixture) confirm(at time.Duration, cells ...string) {
+	var s evacuation.Set
+	for i, cell := range cells {
+		s = s.With(evacuation.Request{Cell: cell, Revision: kvstore.Revision(1 + i)})
+	}
+	f.c.SetEvacuations(evacuation.View{Requests: s, ConfirmedAt: at})
+}
+
+// startedOn returns the workers of the start orders.
+func startedOn(orders []Order) map[string]int {
+	n := map[string]int{}
+	for _, o := range orders {
+		if o.Kind == OrderStart {
+			n[o.Node]++
+		}
+	}
+	return n
+}
+
+var oneAccelerator = batch.Step{Count: 12, Need: batch.Resources{Accelerators: 1}, Estimate: 5 * time.Second}
+
+// TestNothingStartsInEvacuatedCell guards against placements in a data centre that is evacuated, and against a data centre
+// that stays empty after it was taken back.
+func TestNothingStartsInEvacuatedCell(t *testing.T) {
+	t.Parallel()
+	f := evacuationFixture(t)
+	f.confirm(0, "a")
+	f.submit("00000000000000a1", 2, 0, oneAccelerator)
+	if on := startedOn(f.planAndCommit(time.Second)); on["w-a"] != 0 || on["w-b"] != 8 {
+		t.Errorf("starts %v, want 8 on w-b only", on)
+	}
+	f.confirm(2 * time.Second)
+	f.reportEverywhere(2 * time.Second)
+	if on := startedOn(f.planAndCommit(2 * time.Second)); on["w-a"] != 4 {
+		t.Errorf("starts %v after the data centre was taken back, want the other 4 on w-a", on)
+	}
+}
+
+// TestRecordedStartIsWithdrawnOnEvacuation guards against a start order that was waiting for its record when the request to
+// evacuate became known.
+func TestRecordedStartIsWithdrawnOnEvacuation(t *testing.T) {
+	t.Parallel()
+	f := evacuationFixture(t)
+	f.submit("00000000000000a1", 2, 0, oneAccelerator)
+	f.c.Tick(time.Second, f.wall)
+	b, err := f.c.NextBatch(maxChangesPerTxn)
+	if err != nil || b == nil {
+		t.Fatalf("batch %v, error %v", b, err)
+	}
+	f.confirm(time.Second, "a")
+	if on := startedOn(f.c.ApplyCommit(b, 1, time.Second)); on["w-a"] != 0 || on["w-b"] == 0 {
+		t.Errorf("starts %v, want none on w-a", on)
+	}
+}
+
+// TestNextLeaderStartsNothingInEvacuatedCell guards against a leader that sends the order of an assignment that the previous
+// leader has recorded, in a data centre that is evacuated by then.
+func TestNextLeaderStartsNothingInEvacuatedCell(t *testing.T) {
+	t.Parallel()
+	f := evacuationFixture(t)
+	f.submit("00000000000000a1", 2, 0, oneAccelerator)
+	f.planAndCommit(time.Second)
+	f.takeOver(1500*time.Millisecond, nil)
+	f.c.config.EvacuationBound = testEvacuationBound
+	f.confirm(1500*time.Millisecond, "a")
+	for at := 2 * time.Second; at < 4*time.Second; at += 100 * time.Millisecond {
+		f.confirm(at, "a")
+		for _, node := range f.nodes {
+			f.report(node, at) // lists no run: the orders of the previous leader were lost
+		}
+		if on := startedOn(f.planAndCommit(at)); on["w-a"] != 0 {
+			t.Fatalf("starts %v at %v, want none on w-a", on, at)
+		}
+	}
+}
+
+// TestNoStartsWithoutConfirmation guards against a leader that is cut off from the store and does not learn of a request: it
+// must start nothing once the request that it may have missed is older than the bound.
+func TestNoStartsWithoutConfirmation(t *testing.T) {
+	t.Parallel()
+	f := evacuationFixture(t)
+	at := testEvacuationBound
+	f.reportEverywhere(at)
+	f.submit("00000000000000a1", 2, at, oneAccelerator)
+	if on := startedOn(f.planAndCommit(at)); len(on) != 0 {
+		t.Errorf("starts %v on a view that is as old as the bound, want none", on)
+	}
+	f.confirm(at)
+	if on := startedOn(f.planAndCommit(at + planInterval)); on["w-a"]+on["w-b"] != oneAccelerator.Count {
+		t.Errorf("starts %v after the confirmation, want all tasks", on)
+	}
+}
+
+// TestStartOrderEndsWithPermission guards against an order that is carried out late, after a cut link or a frozen agent: its
+// deadline on the worker's clock must lie within the bound of the request that the leader may have missed.
+func TestStartOrderEndsWithPermission(t *testing.T) {
+	t.Parallel()
+	f := evacuationFixture(t)
+	f.confirm(time.Second)
+	f.reportEverywhere(2 * time.Second)
+	incarnation := f.c.workers["w-a"].incarnation()
+	lease, _ := f.c.GrantLease("w-a", incarnation)
+	until, ok := f.c.GrantStart("w-a", incarnation)
+	latest := (time.Second + testEvacuationBound).Milliseconds() // the clock of the fixture's workers is that of the leader
+	if !ok || until >= latest || until > lease {
+		t.Errorf("deadline %d ms (granted: %v), want before %d and at most the lease %d", until, ok, latest, lease)
+	}
+	f.confirm(2*time.Second, "a")
+	if _, ok := f.c.GrantStart("w-a", incarnation); ok {
+		t.Error("a start in an evacuated data centre was granted")
+	}
+	if _, ok := f.c.GrantLease("w-a", incarnation); !ok {
+		t.Error("the lease of runs in an evacuated data centre was not extended")
+	}
+}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -73,11 +73,15 @@
 		return "room is being freed on " + strings.Join(cl.nodes, ", ")
 	}
 	need := s.spec.Reserved()
-	usable, eligible, totalFit := 0, 0, 0
+	usable, eligible, totalFit, evacuated := 0, 0, 0, 0
 	for _, w := range c.sortedWorkers {
 		if !w.usable(now) {
 			continue
 		}
+		if c.evacuated(w) {
+			evacuated++
+			continue
+		}
 		usable++
 		if w.info.Service != c.queue(s.job()).Service || !w.info.HasLabel(s.spec.RequiredLabel) {
 			continue
@@ -89,7 +93,11 @@
 	if s.spec.Gang {
 		n = s.spec.Count
 	}
-	return fmt.Sprintf(
+	reason := fmt.Sprintf(
 		"needs room for %d x %d accelerators, %d mCPU, %d MB; %d fit on %d eligible of %d usable workers",
 		n, need.Accelerators, need.MilliCPU, need.MemoryMB, totalFit, eligible, usable)
+	if evacuated > 0 {
+		reason += fmt.Sprintf("; %d workers are in evacuated data centres", evacuated)
+	}
+	return reason
 }
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -38,6 +38,7 @@
 	incarnations map[string]int64
 	// accelerators holds the capacity of workers that do not have fixtureAccelerators.
 	accelerators map[string]int
+	cells        map[string]string // data centres of the workers; empty for the others
 }
 
 func newFixture(t *testing.T, nodes ...string) *fixture {
@@ -60,7 +61,7 @@
 	}
 	incarnation := batch.Incarnation{ID: node, StartedMS: 1 + f.incarnations[node]}
 	f.c.ApplyReport(Report{Node: node, SentAt: at, ReceivedAt: at, Worker: &batch.Worker{Incarnation: incarnation,
-		Service: "s", Rack: "r", Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: accelerators},
+		Service: "s", Rack: "r", Cell: f.cells[node], Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: accelerators},
 		Sequence: at.Milliseconds() + 1},
 		Runs: &batch.Runs{Incarnation: incarnation, ClockMS: at.Milliseconds(), Running: running}}, f.wall)
 	f.c.GrantLease(node, incarnation) // as the next poll does
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -78,7 +78,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.core.SetCatalog(t.service.catalog())
+	t.core.SetCatalog(t.service.operator.Catalog())
+	t.core.SetEvacuations(t.service.operator.Evacuations())
 	for _, e := range entries {
 		t.applyEntry(e, byJob)
 	}
--- a/internal/scheduler/persist_test.go
+++ b/internal/scheduler/persist_test.go
@@ -9,6 +9,7 @@
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/election"
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/kvstore/memstore"
 )
@@ -36,7 +37,7 @@
 	if err := store.Delete(ctx, JobKey(deleted), late.Revision); err != nil {
 		t.Fatal(err)
 	}
-	term := &leaderTerm{service: &Service{store: store, catalog: func() *batch.Catalog { return &batch.Catalog{} }},
+	term := &leaderTerm{service: &Service{store: store, operator: noOperator{}},
 		term: election.NewTerm(kvstore.Condition{Revision: 1}, nil, boottime.Now()), core: NewCore(simConfig, boottime.Now()),
 		wake: make(chan struct{}, 1), sessions: map[string]*session{}}
 	if _, err := term.load(ctx); err != nil {
@@ -49,3 +50,10 @@
 		}
 	}
 }
+
+// noOperator is the state of operators who have written nothing.
+type noOperator struct{}
+
+func (noOperator) Catalog() *batch.Catalog { return &batch.Catalog{} }
+
+func (noOperator) Evacuations() evacuation.View { return evacuation.View{} }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -21,6 +21,9 @@
 
 // plan places waiting tasks in order of urgency. Less urgent units backfill capacity that more urgent ones cannot use.
 func (c *Core) plan(now time.Duration) {
+	if !c.mayStart(now) {
+		return
+	}
 	p := c.newPlanner(now)
 	p.headroom = c.urgentDemand.headroom()
 	c.expireClaims(now)
@@ -38,7 +41,7 @@
 		reservedFrom: map[string]time.Duration{}, noFit: map[shape]time.Duration{}, fitsNear: map[shape]bool{},
 		withheld: map[string]batch.Resources{}, startingOn: map[string]bool{}, isolatedOn: map[string]bool{}}
 	for _, w := range c.sortedWorkers {
-		if w.usable(now) {
+		if w.usable(now) && !c.evacuated(w) {
 			p.addWorker(w)
 			p.noteStarts(w)
 		}
@@ -144,7 +147,7 @@
 	}
 	var cs []candidate
 	for _, w := range p.core.sortedWorkers {
-		if w.info == nil || w.deregistered || w.info.Leaving || u.failedOn[w.node] || w.info.Service != u.queue.Service ||
+		if w.info == nil || w.deregistered || w.info.Leaving || p.core.evacuated(w) || u.failedOn[w.node] || w.info.Service != u.queue.Service ||
 			!w.info.HasLabel(s.RequiredLabel) {
 			continue
 		}
@@ -256,7 +259,8 @@
 	s := u.step.spec
 	empty := map[string]batch.Resources{}
 	for _, w := range p.core.sortedWorkers {
-		if w.info != nil && !w.deregistered && (s.DataRack == "" || w.info.Rack == s.DataRack) && !w.info.Leaving {
+		if w.info != nil && !w.deregistered && (s.DataRack == "" || w.info.Rack == s.DataRack) && !w.info.Leaving &&
+			!p.core.evacuated(w) {
 			empty[w.node] = w.largest
 		}
 	}
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -355,7 +355,7 @@
 			klog.InfoS("Stopped run is no longer reported", "task", t.id, "run", t.run, "node", w.node,
 				"reason", t.reason)
 			c.requeue(t, LossOrder, now)
-		case t.phase == assigned && !t.startSent && !t.step.job().dirty && !t.step.job().writing:
+		case t.phase == assigned && !t.startSent && !t.step.job().dirty && !t.step.job().writing && c.mayStart(now):
 			// A previous leader recorded the assignment, and may not have sent the order.
 			t.startSent, t.startUncertain, t.assignedAt = true, true, now
 			c.repeatStart(w, t, now)
@@ -369,7 +369,7 @@
 
 // repeatStart sends a start order that may have been sent before, or a stop if the worker cannot take the run any more.
 func (c *Core) repeatStart(w *worker, t *task, now time.Duration) {
-	if reason := w.rejectReason(t, now); reason != "" {
+	if reason := c.rejectReason(w, t, now); reason != "" {
 		c.stopRun(t, LossOrder, reason, now)
 		c.stopGang(t, LossMemberLost, "member not started: "+reason, now)
 		return
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -11,6 +11,7 @@
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/election"
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/protocol"
 	"masticcart.example/masticcart/internal/rpc"
@@ -28,11 +29,11 @@
 
 // Service runs the core while this process is the leader.
 type Service struct {
-	store   kvstore.Store
-	config  Config
-	catalog func() *batch.Catalog
-	meter   *rpc.Meter
-	metrics *Metrics
+	store    kvstore.Store
+	config   Config
+	operator OperatorState
+	meter    *rpc.Meter
+	metrics  *Metrics
 
 	mu   sync.Mutex
 	term *leaderTerm // nil while another process is the leader
@@ -43,11 +44,19 @@
 	entries map[string]string
 }
 
-// NewService returns the scheduler of an entry. catalog returns the latest known configuration.
+// OperatorState is what operators have written into the store, as this process knows it.
+type OperatorState interface {
+	// Catalog returns the newest known configuration.
+	Catalog() *batch.Catalog
+	// Evacuations returns the known requests to evacuate data centres.
+	Evacuations() evacuation.View
+}
+
+// NewService returns the scheduler of an entry.
 func NewService(
-	store kvstore.Store, config Config, catalog func() *batch.Catalog, meter *rpc.Meter, m *Metrics,
+	store kvstore.Store, config Config, operator OperatorState, meter *rpc.Meter, m *Metrics,
 ) *Service {
-	return &Service{store: store, config: config, catalog: catalog, meter: meter, metrics: m,
+	return &Service{store: store, config: config, operator: operator, meter: meter, metrics: m,
 		entries: map[string]string{}}
 }
 
@@ -256,7 +265,8 @@
 func (t *leaderTerm) advance() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.core.SetCatalog(t.service.catalog())
+	t.core.SetCatalog(t.service.operator.Catalog())
+	t.core.SetEvacuations(t.service.operator.Evacuations())
 	t.core.Tick(boottime.Now(), time.Now())
 	t.dispatch(t.core.DrainOrders())
 	if delay, due := t.core.PlanDue(boottime.Now()); due && delay > 0 {
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -244,7 +244,7 @@
 	fence := t.fence(s.node)
 	superseded := o.Kind == OrderStart && !t.core.isCurrentStart(o)
 	oldIncarnation := t.core.workers[s.node].incarnation() != o.Incarnation
-	until, ok := t.core.GrantLease(s.node, o.Incarnation)
+	until, ok := t.core.GrantStart(s.node, o.Incarnation)
 	ok = ok && t.term.Valid()
 	t.mu.Unlock()
 	if superseded { // while it was queued; a new lease would let it run beside the task's next run
@@ -262,7 +262,7 @@
 			Incarnation: o.Incarnation, Task: o.Task, Run: o.Run}, &response)
 	} else {
 		if !ok {
-			return batch.VerdictRefused, "no lease to grant"
+			return batch.VerdictRefused, "no lease to grant, or the data centre is evacuated"
 		}
 		err = conn.Call(ctx, relay.MethodStart, relay.StartRequest{Term: t.term.Number, Fence: fence,
 			Incarnation: o.Incarnation, Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint,
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -99,10 +99,14 @@
 		now-w.reportedAt <= maxReportAge && now >= w.quarantinedUntil
 }
 
-// rejectReason returns why the worker cannot take the run of a task that is assigned to it, or an empty string. Its
-// capacity may have shrunk since the task was placed.
-func (w *worker) rejectReason(t *task, now time.Duration) string {
+// rejectReason returns why a worker cannot take the run of a task that is assigned to it, or an empty string. Its capacity
+// may have shrunk, or an evacuation may have been requested, since the task was placed.
+func (c *Core) rejectReason(w *worker, t *task, now time.Duration) string {
 	switch {
+	case c.evacuated(w):
+		return "data centre is evacuated"
+	case !c.mayStart(now):
+		return "requests to evacuate are not confirmed"
 	case t.incarnation != w.incarnation():
 		return "" // the answer to the order tells
 	case w.downSince != never || now-w.reportedAt > maxReportAge:
@@ -307,7 +311,7 @@
 		case t.phase == stopping && now-t.stopSentAt >= stopResendInterval && now-w.reportedAt <= maxReportAge:
 			c.queueStop(t, now)
 		case t.phase == assigned && !t.confirmed && t.resendAt != 0 && now >= t.resendAt && w.downSince == never &&
-			now-w.reportedAt <= maxReportAge:
+			now-w.reportedAt <= maxReportAge && c.mayStart(now):
 			t.resendAt = 0
 			c.repeatStart(w, t, now) // starting the same run twice is idempotent
 		}
