scheduler/speed: estimate how long workers take from the progress of runs

Cause: workers of one service differ in speed, and no setting or label says which are slow (docs/design/evacuation-and-scarcity.md, section 2).

Change: a tracker without I/O fits a term per group of comparable runs and a term per worker by robust least squares, with forgetting, detection of changes, and shrinkage towards typical by the variance of the fleet.

--- /dev/null
+++ b/internal/scheduler/speed/class.go
@@ -0,0 +1,66 @@
+package speed
+
+import "math"
+
+// Class is a range of speeds that scheduling treats alike.
+type Class string
+
+// Classes of workers.
+const (
+	Unknown Class = "unknown"
+	Fast    Class = "fast"
+	Typical Class = "typical"
+	Slow    Class = "slow"
+)
+
+const (
+	// classConfidence is the least confidence with which a worker belongs to a class.
+	classConfidence = 0.6
+	// differentFactor is the factor from which on a worker differs from a typical one, provided that it is above
+	// similarFactor by a standard error. similarFactor, at which it returns to the typical class, is lower, so that a
+	// worker near the limit does not change its class all the time.
+	differentFactor = 1.22
+	similarFactor   = 1.15
+)
+
+// Class returns the class of a worker.
+func (t *Tracker) Class(name string) Class {
+	t.update()
+	if n := t.byName[name]; n != nil && n.class != "" {
+		return n.class
+	}
+	return Unknown
+}
+
+// Uneven reports whether the service is known to have slow workers besides others, so that an unknown worker may be slow.
+// share is the least share of the known workers that are slow.
+func (t *Tracker) Uneven(share float64) bool {
+	t.update()
+	slow := 0.0
+	for _, n := range t.nodes {
+		if n.class == Slow {
+			slow++
+		}
+	}
+	return slow > 0 && slow >= share*(float64(len(t.known))+typicalPseudoWorkers)
+}
+
+// classify sets the classes of all workers.
+func (t *Tracker) classify() {
+	for _, n := range t.nodes {
+		limit := max(math.Log(differentFactor), math.Log(similarFactor)+1/math.Sqrt(max(n.precision, 1)))
+		if n.class == Fast || n.class == Slow {
+			limit = math.Log(similarFactor)
+		}
+		switch {
+		case n.confidence() < classConfidence:
+			n.class = Unknown
+		case n.shrunk > limit:
+			n.class = Slow
+		case n.shrunk < -limit:
+			n.class = Fast
+		default:
+			n.class = Typical
+		}
+	}
+}
