scheduler, relay: learn the speed of workers from reports

Cause: the tracker of worker speeds had no observations, a new leader would have started without estimates, and healthy runs on slow workers were taken for stragglers.

Change: the progress in reports and the ends of runs are observed. The agent keeps the estimate of its worker's incarnation and returns it to the next leader, which checks the values. Learned run times, remaining times and the detection of stragglers allow for the class of the worker; factors are exactly 1 where no worker is known to differ.

--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -44,6 +44,17 @@
 	// Sequence is that of the last announcement that the leader has received. The response omits the announcement if it
 	// is not newer.
 	Sequence int64 `json:"seq"`
+	// Speed is the leader's estimate of the worker's speed, which the agent keeps for the next leader. It is nil if the
+	// leader has none.
+	Speed *Speed `json:"speed,omitempty"`
+}
+
+// Speed is the estimated speed of one incarnation of a worker.
+type Speed struct {
+	Incarnation batch.Incarnation `json:"life"`
+	// Factor is the worker's duration relative to that of a typical worker of its service.
+	Factor     float64 `json:"factor"`
+	Confidence float64 `json:"confidence"` // 0 to 1
 }
 
 // SyncResponse answers a SyncRequest.
@@ -57,6 +68,8 @@
 	Error string      `json:"problem,omitempty"`
 	// NotListening means that the worker's address refuses connections: no worker process is there.
 	NotListening bool `json:"no_listener,omitempty"`
+	// Speed is the last estimate that a leader has sent for the incarnation that the agent serves, nil for none.
+	Speed *Speed `json:"speed,omitempty"`
 }
 
 // StartRequest starts one run of a task. LeaseUntilMS is the end of its lease in milliseconds on the worker's clock.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,7 @@
 	worker        *batch.Worker     // the last announcement of the incarnation that has answered; nil before that
 	unconfirmed   []*batch.Worker   // announcements of incarnations that have not answered, the newest last
 	deregistered  batch.Incarnation // has announced its end and not announced itself since; zero for none
+	speed         *Speed            // the last estimate of a leader; nil for none
 	workerChanged chan struct{}     // closed and replaced when the worker restarts, leaves or changes its capacity
 }
 
@@ -215,6 +216,9 @@
 	r.confirmWorker(ctx, req.Fence)
 	r.mu.Lock()
 	known := r.worker
+	if req.Speed != nil {
+		r.speed = req.Speed
+	}
 	r.mu.Unlock()
 	wait := time.Duration(req.WaitMS) * time.Millisecond
 	incarnation := req.Incarnation // a restarted agent uses the leader's until the worker announces itself
@@ -246,6 +250,9 @@
 			response.Worker = r.worker
 		}
 		response.Deregistered = r.deregistered
+		if r.speed != nil && r.speed.Incarnation == r.worker.Incarnation {
+			response.Speed = r.speed
+		}
 	}
 	return response, nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -215,3 +215,25 @@
 		t.Errorf("reported %+v, want a deregistration and that nothing listens", got)
 	}
 }
+
+// Guards against the loss of a worker's estimated speed with the leader, and against one of an earlier incarnation.
+func TestAgentKeepsTheSpeedOfTheIncarnation(t *testing.T) {
+	r := New(&fakeDriver{incarnation: incarnation})
+	r.Announce(batch.Worker{Incarnation: incarnation, Sequence: 1})
+	conn := connect(t, r)
+	sync := func(term int64, s *Speed) *Speed {
+		var response SyncResponse
+		if err := conn.Call(context.Background(), MethodSync, SyncRequest{Term: term, Speed: s}, &response); err != nil {
+			t.Fatal(err)
+		}
+		return response.Speed
+	}
+	sync(1, &Speed{Incarnation: incarnation, Factor: 1.6, Confidence: 0.8})
+	if s := sync(2, nil); s == nil || s.Factor != 1.6 || s.Confidence != 0.8 {
+		t.Errorf("the next leader gets %+v", s)
+	}
+	sync(2, &Speed{Incarnation: batch.Incarnation{ID: "i", StartedMS: 6}, Factor: 2})
+	if s := sync(2, nil); s != nil {
+		t.Errorf("the speed of an earlier incarnation is returned: %+v", s)
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -16,6 +16,7 @@
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/scheduler/speed"
 )
 
 // Config holds the timing limits of the workers and the retention of jobs.
@@ -87,7 +88,8 @@
 	lostWork           map[LossCause]float64 // core-seconds
 	suspects           map[*task]struct{}    // tasks with crashes or unresolved losses
 	evacuations        evacuation.View
-	startsHeld         bool // nothing may start, see mayStart
+	startsHeld         bool                      // nothing may start, see mayStart
+	speedTrackers      map[string]*speed.Tracker // by service
 }
 
 // Stats counts events of runs and tasks since the leader took over.
@@ -102,7 +104,7 @@
 	return &Core{config: config, jobs: map[string]*job{}, workers: map[string]*worker{},
 		earlyCancels: map[string]bool{}, claims: map[*stepInstance]*claim{}, startedAt: now, catalog: &batch.Catalog{},
 		durations: map[string]*durationStats{}, lostWork: map[LossCause]float64{},
-		suspects: map[*task]struct{}{}}
+		suspects: map[*task]struct{}{}, speedTrackers: map[string]*speed.Tracker{}}
 }
 
 // Stats returns the number of events of runs and tasks by kind.
--- a/internal/scheduler/estimates.go
+++ b/internal/scheduler/estimates.go
@@ -33,13 +33,13 @@
 	return d
 }
 
-// recordDuration adds the duration of a successful run to the statistics. Runs away from their data, runs that resumed
+// recordDuration adds the duration of a successful run, scaled to typical workers, to the statistics. Runs away from their data, runs that resumed
 // from a checkpoint, and runs that this leader has not seen running do not count.
 func (c *Core) recordDuration(t *task, now time.Duration) {
 	if !t.confirmed || t.basePercent < 0 || t.basePercent > maxFreshPercent {
 		return
 	}
-	took := now - t.startedAt
+	took := time.Duration(float64(now-t.startedAt) / c.runFactor(t))
 	t.runTime = took
 	estimate := t.step.spec.Estimate
 	if estimate <= 0 || t.remote {
@@ -54,6 +54,15 @@
 	d.mean = time.Duration(float64(d.mean)*(1-durationWeight) + float64(took)*durationWeight)
 }
 
+// runFactor returns how long the workers of a task's run take relative to typical ones. A gang is as slow as its slowest
+// worker.
+func (c *Core) runFactor(t *task) float64 {
+	if t.step.spec.Gang && t.step.slowestFactor > 0 {
+		return t.step.slowestFactor
+	}
+	return c.workerFactor(t.node)
+}
+
 // maxFreshPercent is the highest first reported percentage of a run that counts as started from the beginning.
 const maxFreshPercent = 10
 
@@ -69,10 +78,13 @@
 
 // remainingTime returns the expected remaining time of a running task, at least minRemaining.
 func (c *Core) remainingTime(t *task, now time.Duration) time.Duration {
-	total := c.expectedDuration(t.step)
+	total := time.Duration(float64(c.expectedDuration(t.step)) * c.runFactor(t))
 	ran := now - t.startedAt
 	if t.confirmed && t.basePercent >= 0 && t.percent > t.basePercent {
 		total = time.Duration(float64(t.progressAt-t.paceSince) * 100 / float64(t.percent-t.basePercent))
+		if t.step.spec.Gang { // the member waits for the slowest one
+			total = time.Duration(float64(total) * max(1, c.runFactor(t)/c.workerFactor(t.node)))
+		}
 		rest := time.Duration(float64(total) * float64(100-t.percent) / 100)
 		return max(rest-(now-t.progressAt), minRemaining)
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -285,6 +285,7 @@
 	run := 0
 	if s.spec.Gang {
 		run, s.incomplete = s.maxRun()+1, false
+		s.slowestFactor = c.slowestFactor(nodes)
 	}
 	checkpoint := ""
 	if s.spec.Gang {
@@ -302,6 +303,7 @@
 		t.phase, t.node, t.incarnation = assigned, w.node, w.info.Incarnation
 		t.assignedAt, t.startedAt, t.progressAt, t.basePercent = p.now, p.now, p.now, -1
 		t.startSent, t.startUncertain, t.inherited = false, false, false
+		t.observedAt = 0
 		t.confirmed, t.missedReports, t.stopSentAt, t.stopAckedAt, t.percent, t.resendAt = false, 0, 0, 0, 0, 0
 		w.tasks[t] = struct{}{}
 		p.consume(w.node, s.spec.Reserved(), 1)
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -51,6 +51,9 @@
 		c.stopGang(t, LossRestarted, "member ended", now)
 	case e.Outcome == batch.OutcomeDone:
 		w.failedJobs = 0
+		if !t.step.spec.Gang { // a member of a gang waits for the others
+			c.observeSpeed(w, t, completePercent, now)
+		}
 		c.recordDuration(t, now)
 		c.completeTask(t, now, wall)
 	case e.Outcome == batch.OutcomeFailed:
@@ -267,7 +270,7 @@
 	}
 	c.stats.Started++
 	t.confirmed, t.confirmedAt, t.progressAt = true, now, now
-	t.basePercent, t.paceSince = 0, now
+	t.basePercent, t.paceSince, t.observedAt, t.resumed = 0, now, 0, t.checkpoint != ""
 	if t.startSent {
 		t.startedAt = now
 	} else { // started by a previous leader
@@ -339,6 +342,7 @@
 		if t.basePercent < 0 { // resumed from a checkpoint, or started by a previous leader
 			t.basePercent, t.paceSince = run.Percent, now
 		}
+		c.observeReportedSpeed(w, t, run.Percent, now)
 		if run.Percent != t.percent {
 			t.percent, t.progressAt = run.Percent, now
 		}
--- a/internal/scheduler/speed/tracker.go
+++ b/internal/scheduler/speed/tracker.go
@@ -199,7 +199,7 @@
 	for _, g := range t.groups {
 		g.cells = slices.DeleteFunc(g.cells, func(c *cell) bool { return c.node == n })
 	}
-	t.stale = true
+	t.stale, t.updatedAt = true, 0
 }
 
 // Restore adds an estimate of an earlier leader to what is known of a worker. Invalid estimates are ignored.
@@ -210,7 +210,7 @@
 	n := t.node(name)
 	confidence := min(e.Confidence, maxConfidence)
 	n.restoredValue, n.restoredWeight = math.Log(e.Factor), halfConfidence*confidence/(1-confidence)
-	n.restoredAt, t.now, t.stale = now, max(t.now, now), true
+	n.restoredAt, t.now, t.stale, t.updatedAt = now, max(t.now, now), true, 0 // fitted at once
 }
 
 func (t *Tracker) node(name string) *node {
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -48,6 +48,8 @@
 	if t.remote {
 		usual = time.Duration(float64(usual) * c.config.RemoteFactor)
 	}
+	healthy := c.healthyFactor(t.node)
+	usual = time.Duration(float64(usual) * healthy)
 	if usual <= 0 {
 		return ""
 	}
@@ -57,7 +59,7 @@
 	if now-t.paceSince < minJudgedTime || t.step.spec.Gang {
 		return ""
 	}
-	peers := t.peerTimes(now)
+	peers := c.peerTimes(t, now)
 	if len(peers) < minPeers {
 		return ""
 	}
@@ -65,7 +67,7 @@
 	usual = peers[len(peers)/2]
 	total := t.projectedTime(now)
 	rest := time.Duration(float64(total) * float64(100-t.percent) / 100)
-	if float64(total) > slowFactor*float64(usual) && rest > usual+minTimeSaved {
+	if float64(total) > slowFactor*float64(usual)*healthy && rest > usual+minTimeSaved {
 		return reasonSlow
 	}
 	return ""
@@ -77,9 +79,9 @@
 	return time.Duration(float64(now-t.paceSince) * 100 / float64(t.percent-t.basePercent+1))
 }
 
-// peerTimes returns the actual or projected total times of the other tasks of the step. Tasks on the same worker are
-// left out.
-func (t *task) peerTimes(now time.Duration) []time.Duration {
+// peerTimes returns the actual or projected total times of the other tasks of the step, scaled to typical workers. Tasks
+// on the same worker are left out.
+func (c *Core) peerTimes(t *task, now time.Duration) []time.Duration {
 	var times []time.Duration
 	for _, o := range t.step.tasks {
 		switch {
@@ -87,7 +89,7 @@
 		case o.phase == done && o.runTime > 0:
 			times = append(times, o.runTime)
 		case o.phase == assigned && o.confirmed && o.basePercent >= 0 && now-o.paceSince >= minJudgedTime:
-			times = append(times, o.projectedTime(now))
+			times = append(times, time.Duration(float64(o.projectedTime(now))/c.workerFactor(o.node)))
 		}
 	}
 	return times
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -43,10 +43,15 @@
 	progressAt     time.Duration // when percent last changed
 	basePercent    int           // the percentage at paceSince; negative if unknown
 	paceSince      time.Duration // start of the period over which the speed is judged
-	stopSentAt     time.Duration // when the last stop order was sent
-	stopAckedAt    time.Duration // when the worker acknowledged it; zero before
-	missedReports  int           // consecutive reports that do not list the confirmed run
-	failedOn       map[string]bool
+	// observedPercent and observedAt are the progress up to which the run has contributed to the speed of its worker.
+	// observedAt is zero before the first contribution.
+	observedPercent float64
+	observedAt      time.Duration
+	resumed         bool          // the run resumed from a checkpoint
+	stopSentAt      time.Duration // when the last stop order was sent
+	stopAckedAt     time.Duration // when the worker acknowledged it; zero before
+	missedReports   int           // consecutive reports that do not list the confirmed run
+	failedOn        map[string]bool
 	// crashConclusive means that only the task or the worker itself can have caused the last crash under the task.
 	crashConclusive bool
 	runTime         time.Duration // of the successful run
@@ -95,6 +100,8 @@
 	// incomplete means that a member of the gang has no run, so that the runs of the others must not go on. It is cleared
 	// when the gang is placed.
 	incomplete bool
+	// slowestFactor is the highest relative duration of the workers of the gang's present run, zero if it is not known.
+	slowestFactor float64
 }
 
 func (s *stepInstance) job() *job { return s.occurrence.job }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/scheduler/speed"
 )
 
 // worker is the state of a worker as reported by its agent.
@@ -46,6 +47,8 @@
 	unexplained []unexplainedCrash // of the last crashMemory
 	// hasUnresolved means that runs of the worker were lost of which it is not known whether it has crashed.
 	hasUnresolved bool
+	speedClass    speed.Class // as last logged
+	speedRestored bool        // the estimate of a previous leader was taken over, or rejected
 }
 
 // worker returns the state of a worker and creates it if necessary. A new one may still hold a lease of the previous
@@ -55,7 +58,7 @@
 	if w == nil {
 		w = &worker{node: node, tasks: map[*task]struct{}{}, leaseExpiresBy: c.startedAt + c.inheritedLease(node),
 			orphanStops: map[string]time.Duration{}, downSince: never,
-			lastDownAt: never}
+			lastDownAt: never, speedClass: speed.Unknown}
 		w.leaseExpiresBy = max(w.leaseExpiresBy, now)
 		c.workers[node] = w
 		at, _ := slices.BinarySearchFunc(c.sortedWorkers, node, func(o *worker, node string) int {
@@ -222,6 +225,7 @@
 	c.planNeeded = c.planNeeded || w.downSince != never
 	w.reached, w.downSince, w.replaced = true, never, nil
 	w.reportSentAt, w.workerClockMS, w.reportedAt = r.SentAt, r.Runs.ClockMS, r.ReceivedAt
+	c.restoreSpeed(w, r.Speed, r.ReceivedAt)
 	c.applyEnds(w, r.Runs.Ended, r.ReceivedAt, wall)
 	c.reconcileRuns(w, r)
 }
@@ -277,6 +281,7 @@
 			false, false, 0, 0, 0, 0, 0
 		w.failedJobs, w.quarantinedUntil, w.announcedAt = 0, 0, now
 		w.orphaned, w.largest, w.healthy = batch.Resources{}, info.Capacity, false
+		c.forgetSpeed(w)
 		c.planNeeded = true
 		return
 	}
