scheduler: place work by the learned speed of workers

Cause: tight urgent work was placed on slow workers as on others, gangs mixed slow and fast workers, and work that could wait took the fast ones.

Change: a unit ranks the workers by the probability that it misses its aim there. Work with slack prefers slow and unknown workers on which it makes its aim, tight work avoids those on which it does not, and gangs avoid a mix. There is no preference while no worker is known to be slow. Backfill allows for the worker's speed.

Result: tests of scheduler and speed pass.

--- a/internal/scheduler/packing.go
+++ b/internal/scheduler/packing.go
@@ -17,10 +17,11 @@
 	avoided  bool // a task of the step failed there
 	// workAtRisk is the work in core-seconds that a crash of the worker would lose. It is set for suspect units only.
 	workAtRisk float64
+	tier       speedTier // equal for all candidates unless the unit prefers workers by their speed
 }
 
 // compare orders candidates for filling: those without failures of the step first, then those with the least work at
-// risk, then the one with the least capacity left over, so that large free blocks are preserved.
+// risk, then those of the preferred speed, then the one with the least capacity left over, so that large free blocks are preserved.
 func (a candidate) compare(b candidate, need batch.Resources) int {
 	if a.avoided != b.avoided {
 		if a.avoided {
@@ -31,6 +32,9 @@
 	if c := cmp.Compare(a.workAtRisk, b.workAtRisk); c != 0 {
 		return c
 	}
+	if c := cmp.Compare(a.tier, b.tier); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(freeAfterOneTask(a, need), freeAfterOneTask(b, need)); c != 0 {
 		return c
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -108,7 +108,8 @@
 func (p *planner) eligible(u unit, free map[string]batch.Resources, backfill, includeFull bool) []candidate {
 	s := u.step
 	need := s.spec.Reserved()
-	end := p.now + p.core.expectedDuration(s)
+	duration := p.core.expectedDuration(s)
+	preference := p.speedPreference(u)
 	avoidFailed := u.lastAttempt && p.fitsElsewhere(u)
 	var cs []candidate
 	for _, w := range p.core.sortedWorkers {
@@ -119,7 +120,8 @@
 		if !ok || p.keepsApart(u, w) || w.info.Service != u.queue.Service || !w.info.HasLabel(s.spec.RequiredLabel) {
 			continue
 		}
-		if from, ok := p.reservedFrom[w.node]; ok && backfill && end > from {
+		if from, ok := p.reservedFrom[w.node]; ok && backfill &&
+			p.now+time.Duration(float64(duration)*p.core.workerFactor(w.node)) > from {
 			continue
 		}
 		cand := candidate{node: w.node, rack: w.info.Rack, free: available, fitCount: need.FitCount(available)}
@@ -133,6 +135,9 @@
 		if u.suspect {
 			cand.workAtRisk = p.workAtRisk(w)
 		}
+		if preference != nil {
+			cand.tier = preference.tier(w.node)
+		}
 		cs = append(cs, cand)
 	}
 	return cs
@@ -219,21 +224,16 @@
 	if s.DataRack != "" {
 		near = slices.DeleteFunc(slices.Clone(cs), func(c candidate) bool { return c.rack != s.DataRack })
 	}
-	var nodes []string
-	if s.Gang && s.OneRack {
-		nodes = packInRack(near, need, n)
-	} else {
-		nodes = pack(near, need, n)
-	}
+	nodes := packPreferred(near, need, n, s.Gang && s.OneRack)
 	if nodes != nil || !p.mayRunRemote(u, n) {
 		return nodes
 	}
 	if s.Gang && s.OneRack {
-		if nodes = packInRack(cs, need, n); nodes != nil {
+		if nodes = packPreferred(cs, need, n, true); nodes != nil {
 			return nodes
 		}
 	}
-	return pack(cs, need, n)
+	return packPreferred(cs, need, n, false)
 }
 
 // mayRunRemote reports whether the unit may run slower, away from its data or spread over racks: it has waited for long
--- a/internal/scheduler/speed/class.go
+++ b/internal/scheduler/speed/class.go
@@ -1,6 +1,9 @@
 package speed
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Class is a range of speeds that scheduling treats alike.
 type Class string
@@ -32,19 +35,6 @@
 	return Unknown
 }
 
-// Uneven reports whether the service is known to have slow workers besides others, so that an unknown worker may be slow.
-// share is the least share of the known workers that are slow.
-func (t *Tracker) Uneven(share float64) bool {
-	t.update()
-	slow := 0.0
-	for _, n := range t.nodes {
-		if n.class == Slow {
-			slow++
-		}
-	}
-	return slow > 0 && slow >= share*(float64(len(t.known))+typicalPseudoWorkers)
-}
-
 // classify sets the classes of all workers.
 func (t *Tracker) classify() {
 	for _, n := range t.nodes {
@@ -64,3 +54,30 @@
 		}
 	}
 }
+
+// HasSlow reports whether any worker is known to be slow.
+func (t *Tracker) HasSlow() bool {
+	t.update()
+	return slices.ContainsFunc(t.nodes, func(n *node) bool { return n.class == Slow })
+}
+
+// Fastest returns the factor of the fast workers, which a tenth of the known ones is below. It is 1 if none is known.
+func (t *Tracker) Fastest() float64 {
+	t.update()
+	if len(t.known) == 0 {
+		return 1
+	}
+	return math.Exp(min(t.known[len(t.known)/10], 0))
+}
+
+// Count returns the number of known workers of a class.
+func (t *Tracker) Count(class Class) int {
+	t.update()
+	count := 0
+	for _, n := range t.nodes {
+		if n.class == class {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/scheduler/speed/tracker.go
+++ b/internal/scheduler/speed/tracker.go
@@ -21,7 +21,7 @@
 	// memory is the age at which observations are dropped.
 	memory = 3 * halfLife
 	// updateInterval is the least time between two fits, which take time in proportion to all observations kept.
-	updateInterval = 100 * time.Millisecond
+	updateInterval = 200 * time.Millisecond
 	// sweepsPerUpdate is the number of iterations of a fit. Each fit starts from the result of the last one.
 	sweepsPerUpdate = 4
 	// damping is the share of a new value in an iteration. Without it, two workers that are compared only with each
@@ -38,6 +38,8 @@
 	// which the spread of a group is taken as noise.
 	medianChiSquare = 0.455
 	maxSpread       = 2.0
+	// minSpreadSample is the least number of observations from which the variance of tasks within groups is measured.
+	minSpreadSample = 12
 	// priorDeviation is the standard deviation of the logarithm of workers' factors before anything is known.
 	priorDeviation = 0.6
 	// minFleetVariance is the least variance of the logarithm of factors that is assumed when estimates are shrunk, and
@@ -84,8 +86,11 @@
 	byKey     map[string]*group
 	now       time.Duration // of the last observation
 	updatedAt time.Duration
-	stale     bool      // there are observations after the last fit
-	known     []float64 // sorted logarithms of the factors of workers with a confidence of at least one half
+	// spread is the factor by which the variance of tasks within the groups exceeds taskDeviation squared, at least 1.
+	spread  float64
+	squares []float64 // of the standardized residuals of the last iteration
+	stale   bool      // there are observations after the last fit
+	known   []float64 // sorted logarithms of the factors of workers with a confidence of at least one half
 }
 
 // node is a worker.
@@ -129,7 +134,7 @@
 
 // NewTracker returns a tracker without observations.
 func NewTracker() *Tracker {
-	return &Tracker{byName: map[string]*node{}, byKey: map[string]*group{}}
+	return &Tracker{spread: 1, byName: map[string]*node{}, byKey: map[string]*group{}}
 }
 
 // Observe adds the progress of a run since its last observation. group identifies runs that are comparable, rate is in
@@ -241,6 +246,9 @@
 	for range sweepsPerUpdate {
 		t.sweep()
 	}
+	if len(t.squares) >= minSpreadSample {
+		t.spread = max(1, t.spread*min(median(t.squares)/medianChiSquare, maxSpread))
+	}
 	t.detectChanges()
 	t.normalize()
 	t.shrink()
@@ -261,7 +269,7 @@
 	for _, g := range t.groups {
 		for _, c := range g.cells {
 			c.level = math.Log(c.took / c.work)
-			c.var0 = taskDeviation*taskDeviation + roundingPercent*roundingPercent/(c.work*c.work)
+			c.var0 = t.spread*taskDeviation*taskDeviation + roundingPercent*roundingPercent/(c.work*c.work)
 		}
 	}
 }
@@ -271,8 +279,9 @@
 	for _, n := range t.nodes {
 		n.sums, n.recent = sums{}, sums{}
 	}
+	t.squares = t.squares[:0]
 	for _, g := range t.groups {
-		g.addResiduals(t.now)
+		t.squares = g.addResiduals(t.now, t.squares)
 	}
 	for _, n := range t.nodes {
 		if n.restoredWeight > 0 {
@@ -286,11 +295,12 @@
 
 // addResiduals adds the residuals of the group's observations to the sums of their workers. Each worker is compared with
 // the centre of the others, corrected by their present values.
-func (g *group) addResiduals(now time.Duration) {
+// It appends the squares of the standardized residuals to squares.
+func (g *group) addResiduals(now time.Duration, squares []float64) []float64 {
 	if len(g.cells) < 2 {
-		return
+		return squares
 	}
-	inflation := g.measureSpread()
+	inflation, squares := g.measureSpread(squares)
 	total := sums{}
 	for _, c := range g.cells {
 		c.weight /= inflation
@@ -305,11 +315,13 @@
 		// A change of speed looks like an outlier at first, so that the limit would hide it.
 		c.node.recent.add(residual, precision*decayOf(now-c.last, recentHalfLife))
 	}
+	return squares
 }
 
 // measureSpread sets the residuals of the group's term and their weights. It returns the factor by which the variance of
 // the observations exceeds the expected one, at least 1: a job whose tasks are not alike says little about its workers.
-func (g *group) measureSpread() float64 {
+// It appends the squares of the standardized residuals to squares.
+func (g *group) measureSpread(squares []float64) (float64, []float64) {
 	values := make([]float64, len(g.cells))
 	for i, c := range g.cells {
 		c.rest = c.level - c.node.value
@@ -318,10 +330,12 @@
 	centre := median(values)
 	for i, c := range g.cells {
 		variance := c.var0 + 1/(c.node.precision+1/(priorDeviation*priorDeviation))
-		values[i] = (c.rest - centre) * (c.rest - centre) / variance
+		// The centre is derived from the same observations, which makes residuals of small groups smaller.
+		values[i] = (c.rest - centre) * (c.rest - centre) / variance * float64(len(values)) / float64(len(values)-1)
 		c.weight = huberWeight(c.rest-centre) / variance
 	}
-	return max(1, median(values)/(maxSpread*medianChiSquare))
+	squares = append(squares, values...)
+	return max(1, median(values)/(maxSpread*medianChiSquare)), squares
 }
 
 // median returns the median of values, which it sorts.
--- a/internal/scheduler/worker_speed_test.go
+++ b/internal/scheduler/worker_speed_test.go
@@ -118,3 +118,45 @@
 		}
 	}
 }
+
+// Guards against tight work on slow workers, gangs that are as slow as one of their workers, and fast workers that are
+// taken by work that could wait. Where workers are alike, the placement is that of the tightest fit.
+func TestPlacementBySpeed(t *testing.T) {
+	nodes := []string{"a", "b", "c", "d", "e", "g"}
+	gang := func(count int) batch.Step {
+		return batch.Step{Count: count, Gang: true, Estimate: 2 * time.Second, Need: batch.Resources{Accelerators: 8}}
+	}
+	single := batch.Step{Count: 1, Estimate: 2 * time.Second, Need: batch.Resources{Accelerators: 1}}
+	for name, test := range map[string]struct {
+		priority int
+		step     batch.Step
+		slow     []string
+		want     map[string]bool
+	}{
+		"tight task":           {0, single, []string{"a", "b"}, map[string]bool{"c": true}},
+		"tight gang":           {0, gang(4), []string{"a", "b"}, map[string]bool{"c": true, "d": true, "e": true, "g": true}},
+		"task with slack":      {2, single, []string{"e", "g"}, map[string]bool{"e": true}},
+		"gang with slack":      {2, gang(2), []string{"e", "g"}, map[string]bool{"e": true, "g": true}},
+		"gang above slow ones": {2, gang(3), []string{"e", "g"}, map[string]bool{"a": true, "b": true, "c": true}},
+		"equal workers":        {2, single, nil, map[string]bool{"a": true}},
+	} {
+		f := newFixture(t, nodes...)
+		f.learnSpeeds(time.Second, test.slow...)
+		for _, n := range nodes {
+			f.report(n, time.Second)
+		}
+		tight, loose := simQueue(0), simQueue(2)
+		tight.SlackFactor, loose.SlackFactor = 1.5, 6
+		f.c.SetCatalog(&batch.Catalog{Version: 2, Queues: []batch.Queue{tight, simQueue(1), loose}})
+		f.submit(speedJob, test.priority, time.Second, test.step)
+		started := startedOn(f.planAndCommit(time.Second))
+		for n := range started {
+			if !test.want[n] {
+				t.Errorf("%s: started on %v, want %v", name, started, test.want)
+			}
+		}
+		if len(started) != len(test.want) {
+			t.Errorf("%s: started on %v, want %v", name, started, test.want)
+		}
+	}
+}
