scheduler: preempt on faster workers, and restart late runs there

Cause: an urgent unit started on free slow workers although it misses its aim there, its victims were chosen regardless of speed, and a run that turned out to be late stayed where it was. Operators could not see the learned speeds.

Change: urgent units evict from workers on which they make their aim, and wait once for up to 0.5 s for that instead of starting on slow ones. Speeds are shown by explain and in the query table of workers, and counted by class.

--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -320,6 +320,8 @@
 	Quarantined   bool         `json:"quarantined,omitempty"`
 	ConfigVersion int64        `json:"config_version"`
 	Tasks         []TaskStatus `json:"tasks,omitempty"`
+	// Speed is how long the worker takes in percent of a typical worker of its service. Zero means unknown.
+	Speed int `json:"speed,omitempty"`
 }
 
 // JobView is one job as the owner of its cell sees it.
--- a/internal/query/tables.go
+++ b/internal/query/tables.go
@@ -58,7 +58,7 @@
 		columns: []column{
 			textColumn("worker"), textColumn("region"), textColumn("cell"), textColumn("rack"),
 			textColumn("state", upstreamStates...), numberColumn("accelerators"), numberColumn("free"),
-			listColumn("jobs"), numberColumn("version"),
+			listColumn("jobs"), numberColumn("version"), numberColumn("speed"),
 		},
 		operatorsOnly: true,
 		rows:          workerRows,
@@ -174,7 +174,7 @@
 		rows = append(rows, []Value{
 			textValue(w.Identity.Agent), textValue(w.Identity.Region), textValue(w.Identity.Cell),
 			textValue(w.Identity.Rack), textValue(upstreamState(w)), numberValue(w.Identity.Units),
-			numberValue(w.Free), listValue(jobs), numberValue(w.ConfigVersion),
+			numberValue(w.Free), listValue(jobs), numberValue(w.ConfigVersion), numberValue(w.Speed),
 		})
 	}
 	return rows
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -97,6 +97,7 @@
 	Started, Refused, Preempted, Lost, Failed, Done, Moved int64
 	Crashed                                                int64 // workers
 	GivenUp                                                int64 // tasks that crash their workers
+	RestartedLate                                          int64 // runs, or those of a gang, see restartLateRuns
 }
 
 // NewCore returns a core without jobs and workers.
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -31,7 +31,9 @@
 	Percent  int    `json:"percent,omitempty"`
 	Failures int    `json:"fails,omitempty"`
 	Crashes  int    `json:"crashes,omitempty"` // of workers that ran the task
-	Reason   string `json:"reason,omitempty"`
+	// Speed is what is known of the worker of a running task.
+	Speed  string `json:"speed,omitempty"`
+	Reason string `json:"reason,omitempty"`
 }
 
 // Explain describes a job. It returns false if the core does not have it.
@@ -52,7 +54,7 @@
 			Failures: t.failures, Crashes: t.crashes(), Reason: t.reason}
 		switch {
 		case t.phase == assigned && t.confirmed:
-			x.Phase = "running"
+			x.Phase, x.Speed = "running", c.describeSpeed(t.node)
 		case t.phase == assigned && j.writing:
 			x.Reason = "the assignment is being recorded"
 		case t.phase == waiting:
--- a/internal/scheduler/lost_work.go
+++ b/internal/scheduler/lost_work.go
@@ -20,6 +20,7 @@
 	LossStalled         LossCause = "stands_still"
 	LossSlow            LossCause = "crawls"
 	LossMemberStalled   LossCause = "member_straggles"
+	LossLate            LossCause = "late_run" // restarted on faster workers
 	LossWorker          LossCause = "lost_with_worker"
 	LossMemberLost      LossCause = "member_lost"
 	LossOrder           LossCause = "order" // a start refused or not answered, or a run that is not listed any more
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/scheduler/speed"
 )
 
 // Metrics holds the counters and histograms of the scheduler.
@@ -50,6 +51,7 @@
 		{"runs_preempted", now.Preempted, m.lastStats.Preempted}, {"runs_lost", now.Lost, m.lastStats.Lost},
 		{"runs_failed", now.Failed, m.lastStats.Failed}, {"tasks_done", now.Done, m.lastStats.Done},
 		{"workers_crashed", now.Crashed, m.lastStats.Crashed}, {"tasks_given_up", now.GivenUp, m.lastStats.GivenUp},
+		{"late_runs_restarted", now.RestartedLate, m.lastStats.RestartedLate},
 	} {
 		if x.now > x.before {
 			m.scope.Counter(x.name).Inc(x.now - x.before)
@@ -59,6 +61,13 @@
 	m.updateLostWork(c)
 	m.scope.Gauge("jobs_open").Update(float64(len(c.openJobs)))
 	m.scope.Gauge("workers").Update(float64(len(c.workers)))
+	classes := map[speed.Class]int{}
+	for _, w := range c.sortedWorkers {
+		classes[c.speedClass(w)]++
+	}
+	for _, class := range [...]speed.Class{speed.Fast, speed.Typical, speed.Slow, speed.Unknown} {
+		m.scope.Tagged(map[string]string{"speed": string(class)}).Gauge("workers_by_speed").Update(float64(classes[class]))
+	}
 }
 
 // updateLostWork adds the whole core-seconds that were lost since the last call to the counters.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -33,6 +33,7 @@
 	for _, u := range c.units(now) {
 		p.place(u)
 	}
+	p.restartLateRuns()
 }
 
 // newPlanner returns a planner with the free capacity of all usable workers.
@@ -76,14 +77,14 @@
 		p.returnClaim(cl)
 	}
 	if u.step.spec.Gang {
-		if nodes := p.chooseNodes(u, len(u.tasks)); nodes != nil {
+		if nodes := p.chooseNodes(u, len(u.tasks)); nodes != nil && !p.waitsForFaster(u, nodes) {
 			p.assign(u, u.tasks, nodes)
 			u.tasks = nil
 		}
 	} else {
 		for len(u.tasks) > 0 {
 			nodes := p.chooseNodes(u, 1)
-			if nodes == nil {
+			if nodes == nil || p.waitsForFaster(u, nodes) {
 				break // the tasks of a step are identical
 			}
 			p.assign(u, u.tasks[:1], nodes)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -72,15 +72,17 @@
 }
 
 // preempt stops less urgent tasks so that n tasks of the unit fit, or as many as possible if they start independently.
-// It chooses the workers with the least loss of work. It returns nil if it stops nothing.
+// It chooses the workers with the least loss of work, among those on which the unit makes its aim if possible. It returns nil if it stops nothing.
 func (p *planner) preempt(u unit, n int) *claim {
 	s := u.step
 	need := s.spec.Reserved()
+	groups := p.workerGroups(u, n)
 	var best *eviction
-	for _, group := range p.workerGroups(u, n) {
-		if e := p.cheapestEviction(u, group, need, n); e != nil && (best == nil || e.cost < best.cost) {
-			best = e
-		}
+	if faster, differ := fastEnough(groups); differ {
+		best = p.bestEviction(u, faster, need, n)
+	}
+	if best == nil || len(best.nodes) < n || best.cost > p.maxLoss(u, n) {
+		best = p.bestEviction(u, groups, need, n)
 	}
 	if best == nil || best.cost > p.maxLoss(u, len(best.nodes)) && !u.guaranteed {
 		return nil
@@ -88,15 +90,31 @@
 	cl := &claim{expires: p.now + claimTimeout, nodes: best.nodes, need: need}
 	klog.InfoS("Preempting", "job", s.job().ID, "step", s.index, "tasks", n, "nodes", best.nodes,
 		"victims", len(best.victims), "cost", best.cost)
-	for _, v := range best.victims {
+	p.stopVictims(best.victims, s.job().ID)
+	return cl
+}
+
+// stopVictims stops tasks, and their gangs, in favor of a job.
+func (p *planner) stopVictims(victims []*task, job string) {
+	for _, v := range victims {
 		if v.phase == assigned {
 			p.core.stats.Preempted++
 			v.preemptions++
-			p.core.stopRun(v, LossPreempted, "preempted by "+s.job().ID, p.now)
+			p.core.stopRun(v, LossPreempted, "preempted by "+job, p.now)
 			p.core.stopGang(v, LossMemberPreempted, "member preempted", p.now)
 		}
 	}
-	return cl
+}
+
+// bestEviction returns the eviction with the least loss in one of the groups, or nil.
+func (p *planner) bestEviction(u unit, groups [][]candidate, need batch.Resources, n int) *eviction {
+	var best *eviction
+	for _, group := range groups {
+		if e := p.cheapestEviction(u, group, need, n); e != nil && (best == nil || e.cost < best.cost) {
+			best = e
+		}
+	}
+	return best
 }
 
 // maxLoss returns the loss of work, in core-seconds, that is acceptable to start n tasks of the unit.
--- a/internal/scheduler/speed_preference.go
+++ b/internal/scheduler/speed_preference.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/scheduler/speed"
 )
@@ -128,3 +130,50 @@
 	}
 	return place(cs, need, n)
 }
+
+// fasterWait is how long an urgent unit waits for capacity on faster workers that preemption frees. Stopping tasks takes
+// about 0.2 s and recording the assignment less; within a guarantee the unit has to start after 2.7 s.
+const fasterWait = 500 * time.Millisecond
+
+// fastEnough returns the groups without the workers on which the unit probably misses its aim, and whether there are any.
+func fastEnough(groups [][]candidate) (faster [][]candidate, differ bool) {
+	for _, g := range groups {
+		f := slices.DeleteFunc(slices.Clone(g), func(c candidate) bool { return c.tier == tierMissed })
+		differ = differ || len(f) < len(g)
+		faster = append(faster, f)
+	}
+	return faster, differ
+}
+
+// waitsForFaster reports whether an urgent unit that could start on the given workers waits instead for capacity on faster
+// ones, which preemption frees, since it would miss its aim otherwise. That happens once for each step.
+func (p *planner) waitsForFaster(u unit, nodes []string) bool {
+	s := u.step
+	if u.queue.Priority != 0 {
+		return false
+	}
+	preference := p.speedPreference(u)
+	if preference == nil || preference.maxFactor == 0 ||
+		!slices.ContainsFunc(nodes, func(n string) bool { return preference.tier(n) == tierMissed }) {
+		return false
+	}
+	if s.fasterUntil != 0 {
+		return p.now < s.fasterUntil && p.core.claims[s] != nil
+	}
+	slack := u.latestStart - p.now - fasterWait
+	if maxFactor(p.core.expectedDuration(s), slack) < preference.tracker.Fastest() {
+		return false
+	}
+	n, need := len(u.tasks), s.spec.Reserved()
+	faster, _ := fastEnough(p.workerGroups(u, n))
+	e := p.bestEviction(u, faster, need, n)
+	if e == nil || len(e.nodes) < n || e.cost > p.maxLoss(u, n) {
+		return false
+	}
+	klog.InfoS("Preempting on faster workers", "job", s.job().ID, "step", s.index, "tasks", n, "nodes", e.nodes,
+		"victims", len(e.victims), "cost", e.cost, "instead", nodes, "maxFactor", preference.maxFactor)
+	s.fasterUntil = p.now + fasterWait
+	p.stopVictims(e.victims, s.job().ID)
+	p.core.addClaim(s, &claim{expires: s.fasterUntil, nodes: e.nodes, need: need})
+	return true
+}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -102,6 +102,7 @@
 	incomplete bool
 	// slowestFactor is the highest relative duration of the workers of the gang's present run, zero if it is not known.
 	slowestFactor float64
+	fasterUntil   time.Duration // until when it waits for faster workers, see waitsForFaster; zero if it has not
 }
 
 func (s *stepInstance) job() *job { return s.occurrence.job }
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -92,6 +93,9 @@
 	v.Identity.Rack, v.Identity.Units = w.info.Rack, w.info.Capacity.Accelerators
 	v.Free = w.info.Capacity.Minus(w.reserved()).Accelerators
 	v.Alive, v.Leaving = !w.deregistered && now-w.reportedAt <= maxReportAge, w.info.Leaving
+	if e := c.speeds(w.info.Service).Estimate(w.node); e.Confidence > 0 {
+		v.Speed = int(math.Round(100 * e.Factor))
+	}
 	for _, t := range w.sortedTasks() {
 		phase := protocol.TaskRunning
 		if t.phase == stopping {
--- a/internal/scheduler/worker_speed.go
+++ b/internal/scheduler/worker_speed.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -180,3 +181,13 @@
 	}
 	return slowest
 }
+
+// describeSpeed describes what is known of the speed of the worker on a node, for operators.
+func (c *Core) describeSpeed(node string) string {
+	w := c.workers[node]
+	if w == nil || w.info == nil {
+		return ""
+	}
+	e := c.speeds(w.info.Service).Estimate(node)
+	return fmt.Sprintf("%s: %.0f %% of a typical duration, confidence %.2f", c.speedClass(w), 100*e.Factor, e.Confidence)
+}
--- a/internal/scheduler/worker_speed_test.go
+++ b/internal/scheduler/worker_speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 const speedJob = "00000000000000f1"
 
 // learnSpeeds gives the core observations of many runs, in which the slow nodes take 2.4 times as long as the others.
-func (f *fixture) learnSpeeds(at time.Duration, slow ...string) {
+func (f *fixture) learnSpeeds(slow ...string) {
 	f.t.Helper()
 	rates := map[string]float64{}
 	for _, n := range f.nodes {
@@ -24,7 +25,7 @@
 	}
 	for i := range 20 {
 		for _, n := range f.nodes {
-			f.c.speeds("s").Observe(n, fmt.Sprint("g", i), rates[n], 100, at)
+			f.c.speeds("s").Observe(n, fmt.Sprint("g", i), rates[n], 100, time.Second)
 		}
 	}
 	for _, n := range slow {
@@ -68,7 +69,7 @@
 // implausible values from an agent.
 func TestSpeedIsKeptAcrossATakeover(t *testing.T) {
 	f := newFixture(t, "a", "b", "c", "d")
-	f.learnSpeeds(time.Second, "d")
+	f.learnSpeeds("d")
 	kept := map[string]*relay.Speed{}
 	for _, n := range f.nodes {
 		kept[n] = f.c.SpeedForAgent(n)
@@ -104,7 +105,7 @@
 func TestRunOnASlowWorkerIsComparedWithWhatIsExpectedThere(t *testing.T) {
 	for rate, moved := range map[float64]bool{13: false, 5: true} {
 		f := newFixture(t, "a", "b", "c", "d", "e", "g")
-		f.learnSpeeds(time.Second, "d")
+		f.learnSpeeds("d")
 		f.submit(speedJob, 2, time.Second, batch.Step{Count: 6, Estimate: 2 * time.Second, MaxPerWorker: 1,
 			Need: batch.Resources{Accelerators: 8}})
 		start := time.Second
@@ -141,7 +142,7 @@
 		"equal workers":        {2, single, nil, map[string]bool{"a": true}},
 	} {
 		f := newFixture(t, nodes...)
-		f.learnSpeeds(time.Second, test.slow...)
+		f.learnSpeeds(test.slow...)
 		for _, n := range nodes {
 			f.report(n, time.Second)
 		}
@@ -160,3 +161,19 @@
 		}
 	}
 }
+
+// Guards against operators who cannot see which workers are slow.
+func TestSpeedIsShown(t *testing.T) {
+	f := newFixture(t, "a", "b", "c", "d")
+	f.learnSpeeds("d")
+	f.submit(speedJob, 2, time.Second, batch.Step{Count: 1, Estimate: 2 * time.Second, Need: batch.Resources{Accelerators: 1}})
+	f.report("d", time.Second)
+	f.planAndCommit(time.Second)
+	if e, _ := f.c.Explain(speedJob, time.Second); len(e.Tasks) != 1 || !strings.HasPrefix(e.Tasks[0].Speed, "slow: 1") {
+		t.Errorf("explained as %+v", e.Tasks)
+	}
+	_, workers := f.c.View(time.Second, f.wall)
+	if a, d := workers[0].Speed, workers[3].Speed; a == 0 || d < 2*a {
+		t.Errorf("speed of a %d, of d %d", a, d)
+	}
+}
