scheduler: wrap lines of the code on worker speed

Cause: lines longer than 120 characters.

Change: comments and conditions are wrapped; a redundant check is removed.

--- a/internal/scheduler/late_runs.go
+++ b/internal/scheduler/late_runs.go
@@ -13,8 +13,8 @@
 // they were known to be slow.
 
 const (
-	// minJudgedPercent is the progress of all members from which on the end of a run is projected. Percentages are whole
-	// numbers, so the error is then at most an eighth.
+	// minJudgedPercent is the progress of all members from which on the end of a run is projected. Percentages are
+	// whole numbers, so the error is then at most an eighth.
 	minJudgedPercent = 8
 	// lateMargin is by how much a run has to miss its aim, and a restarted one to meet it.
 	lateMargin = 100 * time.Millisecond
@@ -35,7 +35,8 @@
 // isLate reports whether the run is projected to miss its aim.
 func (r lateRun) isLate() bool { return r.projectedEnd > r.aim+lateMargin }
 
-// restartEnd returns when the run would end if it was stopped now and started again on workers with a relative duration.
+// restartEnd returns when the run would end if it was stopped now and started again on workers with a relative
+// duration.
 func (r lateRun) restartEnd(factor float64, stopTimeout, now time.Duration) time.Duration {
 	return now + stopTimeout + restartOverhead + time.Duration(float64(r.typical)*factor*durationMargin)
 }
@@ -45,8 +46,8 @@
 	return r.isLate() && end+lateMargin <= r.aim && r.projectedEnd-end > r.lost
 }
 
-// restartLateRuns stops runs that are projected to miss their aim because their workers are slow, and claims capacity for
-// them on faster workers.
+// restartLateRuns stops runs that are projected to miss their aim because their workers are slow, and claims capacity
+// for them on faster workers.
 func (p *planner) restartLateRuns() {
 	restarts := 0
 	for _, j := range p.core.openJobs {
@@ -98,11 +99,13 @@
 func (p *planner) restartIfLate(s *stepInstance, members []*task) bool {
 	c := p.core
 	onSlow := slices.ContainsFunc(members, func(t *task) bool { return c.speedClass(c.workers[t.node]) == speed.Slow })
-	if !onSlow || slices.ContainsFunc(members, func(t *task) bool { return !t.mayRestartLate(s) }) || c.claims[s] != nil {
+	if !onSlow || c.claims[s] != nil ||
+		slices.ContainsFunc(members, func(t *task) bool { return !t.mayRestartLate(s) }) {
 		return false
 	}
 	r := p.projectRun(s, members)
-	if !r.isLate() || !r.worthRestart(r.restartEnd(c.speeds(c.queue(s.job()).Service).Fastest(), c.config.StopTimeout, p.now)) {
+	fastest := c.speeds(c.queue(s.job()).Service).Fastest()
+	if !r.worthRestart(r.restartEnd(fastest, c.config.StopTimeout, p.now)) {
 		return false
 	}
 	u := unit{step: s, tasks: members, queue: c.queue(s.job()), latestStart: c.deadline(s, p.now) - c.longestChain(s)}
@@ -114,8 +117,8 @@
 	if !r.worthRestart(end) {
 		return false
 	}
-	klog.InfoS("Restarting late run", "job", s.job().ID, "step", s.index, "tasks", len(members), "first", members[0].id.Index,
-		"nodes", nodes, "victims", len(victims), "aimInMs", (r.aim - p.now).Milliseconds(),
+	klog.InfoS("Restarting late run", "job", s.job().ID, "step", s.index, "tasks", len(members),
+		"first", members[0].id.Index, "nodes", nodes, "victims", len(victims), "aimInMs", (r.aim - p.now).Milliseconds(),
 		"endInMs", (r.projectedEnd - p.now).Milliseconds(), "restartEndInMs", (end - p.now).Milliseconds(),
 		"lostMs", r.lost.Milliseconds())
 	c.stats.RestartedLate++
@@ -159,8 +162,8 @@
 	return r
 }
 
-// fasterCapacity returns workers for all tasks of a unit that are known not to be slow, and the tasks to stop for that. It
-// returns nil if there are none. Only urgent units stop others.
+// fasterCapacity returns workers for all tasks of a unit that are known not to be slow, and the tasks to stop for that.
+// It returns nil if there are none. Only urgent units stop others.
 func (p *planner) fasterCapacity(u unit) ([]string, []*task) {
 	n, need := len(u.tasks), u.step.spec.Reserved()
 	if p.mustKeepHeadroom(u, n) {
--- a/internal/scheduler/late_runs_test.go
+++ b/internal/scheduler/late_runs_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// Guards against an urgent gang that stays late on slow workers although faster ones are free, against a second restart,
-// also by the next leader, and against a stop of work that must not be stopped.
+// Guards against an urgent gang that stays late on slow workers although faster ones are free, against a second
+// restart, also by the next leader, and against a stop of work that must not be stopped.
 func TestLateRunIsRestartedOnFasterWorkers(t *testing.T) {
 	for name, test := range map[string]struct {
 		prepare func(*fixture, *task)
@@ -105,8 +105,8 @@
 	}
 }
 
-// Guards against an urgent gang that starts on free slow workers, and misses its aim, where stopping less urgent work on
-// faster ones would let it meet the aim, and against one that waits for that in vain.
+// Guards against an urgent gang that starts on free slow workers, and misses its aim, where stopping less urgent work
+// on faster ones would let it meet the aim, and against one that waits for that in vain.
 func TestTightGangPreemptsOnFasterWorkers(t *testing.T) {
 	f := lateFixture(t, 2)
 	stopped := map[string]bool{}
--- a/internal/scheduler/speed/tracker.go
+++ b/internal/scheduler/speed/tracker.go
@@ -1,9 +1,9 @@
 // Package speed estimates how long workers take relative to a typical worker of their service, from the progress of
 // comparable runs. It performs no I/O and takes the time as an argument.
 //
-// The logarithm of a run's time per unit of work is modelled as the sum of a term of its group, a term of its worker, and
-// noise. The terms are fitted by alternating weighted least squares with Huber's loss, which is convex, so that the result
-// does not depend on which workers were seen first.
+// The logarithm of a run's time per unit of work is modelled as the sum of a term of its group, a term of its worker,
+// and noise. The terms are fitted by alternating weighted least squares with Huber's loss, which is convex, so that the
+// result does not depend on which workers were seen first.
 package speed
 
 import (
@@ -14,7 +14,8 @@
 )
 
 const (
-	// halfLife is the time after which the weight of an observation is halved, so that changes of a worker's speed show.
+	// halfLife is the time after which the weight of an observation is halved, so that changes of a worker's speed
+	// show.
 	halfLife = 20 * time.Second
 	// recentHalfLife weights the evidence that is compared with the whole to detect a change of speed.
 	recentHalfLife = 2500 * time.Millisecond
@@ -30,7 +31,8 @@
 
 	// taskDeviation is the standard deviation of the logarithm of durations within a group; they differ by 15 to 30 %.
 	taskDeviation = 0.15
-	// roundingPercent is the error of a run's observed work in percent, due to reported percentages being whole numbers.
+	// roundingPercent is the error of a run's observed work in percent, due to reported percentages being whole
+	// numbers.
 	roundingPercent = 0.6
 	// huberLimit is the residual beyond which the influence of an observation does not grow any more.
 	huberLimit = 0.4
@@ -46,8 +48,8 @@
 	// unknownFleetVariance the one assumed until some workers are known.
 	minFleetVariance     = 0.002
 	unknownFleetVariance = 0.1
-	// changeThreshold is the difference of the logarithm of the recent and the overall factor from which on the worker's
-	// speed has changed, and minChangePrecision the least precision of the recent one: about that of one run.
+	// changeThreshold is the difference of the logarithm of the recent and the overall factor from which on the
+	// worker's speed has changed, and minChangePrecision the least precision of the recent one: about that of one run.
 	changeThreshold    = 0.6
 	minChangePrecision = 18.0
 
@@ -165,7 +167,8 @@
 	t.now, t.stale = max(t.now, now), true
 }
 
-// Estimate returns the relative duration of a worker and its confidence. An unknown worker is typical with confidence 0.
+// Estimate returns the relative duration of a worker and its confidence. An unknown worker is typical with confidence
+// 0.
 func (t *Tracker) Estimate(name string) Estimate {
 	t.update()
 	n := t.byName[name]
@@ -175,8 +178,8 @@
 	return Estimate{Factor: min(max(math.Exp(n.shrunk), minFactor), maxFactor), Confidence: n.confidence()}
 }
 
-// SlowProbability returns the probability that the worker takes more than factor times as long as a typical one. What is
-// not known of the worker is replaced by the distribution of the known workers.
+// SlowProbability returns the probability that the worker takes more than factor times as long as a typical one. What
+// is not known of the worker is replaced by the distribution of the known workers.
 func (t *Tracker) SlowProbability(name string, factor float64) float64 {
 	t.update()
 	limit := math.Log(max(factor, minFactor/2))
@@ -296,9 +299,9 @@
 	}
 }
 
-// addResiduals adds the residuals of the group's observations to the sums of their workers. Each worker is compared with
-// the centre of the others, corrected by their present values.
-// It appends the squares of the standardized residuals to squares.
+// addResiduals adds the residuals of the group's observations to the sums of their workers. Each worker is compared
+// with the centre of the others, corrected by their present values. It appends the squares of the standardized
+// residuals to squares.
 func (g *group) addResiduals(squares []float64) []float64 {
 	if len(g.cells) < 2 {
 		return squares
@@ -321,9 +324,9 @@
 	return squares
 }
 
-// measureSpread sets the residuals of the group's term and their weights. It returns the factor by which the variance of
-// the observations exceeds the expected one, at least 1: a job whose tasks are not alike says little about its workers.
-// It appends the squares of the standardized residuals to squares.
+// measureSpread sets the residuals of the group's term and their weights. It returns the factor by which the variance
+// of the observations exceeds the expected one, at least 1: a job whose tasks are not alike says little about its
+// workers. It appends the squares of the standardized residuals to squares.
 func (g *group) measureSpread(squares []float64) (float64, []float64) {
 	values := make([]float64, len(g.cells))
 	for i, c := range g.cells {
--- a/internal/scheduler/speed/tracker_test.go
+++ b/internal/scheduler/speed/tracker_test.go
@@ -95,8 +95,8 @@
 	f.runs = kept
 }
 
-// classified returns the number of workers whose runs were compared with others, and how many of them are taken for slow
-// although they are not, or the reverse.
+// classified returns the number of workers whose runs were compared with others, and how many of them are taken for
+// slow although they are not, or the reverse.
 func (f *fleet) classified(slow func(int) bool) (seen, wrong float64) {
 	for i := range f.factors {
 		name := fmt.Sprint("w", i)
--- a/internal/scheduler/speed_preference.go
+++ b/internal/scheduler/speed_preference.go
@@ -11,8 +11,8 @@
 )
 
 // Preference of workers by speed. It addresses fleets in which some workers are known to be slow: work with a tight aim
-// goes to workers on which it makes the aim, work with slack to slow and unknown ones, so that the fast ones stay free and
-// the speed of the unknown ones is learned. Where no worker is known to be slow there is no preference.
+// goes to workers on which it makes the aim, work with slack to slow and unknown ones, so that the fast ones stay free
+// and the speed of the unknown ones is learned. Where no worker is known to be slow there is no preference.
 
 // speedTier ranks the workers for a unit, the preferred ones first.
 type speedTier int
@@ -26,12 +26,13 @@
 )
 
 const (
-	// safeRisk is the highest probability of missing the aim on a worker with which the worker may be preferred because it
-	// is slow or unknown. lowRisk and highRisk limit tierFast and tierRisky.
+	// safeRisk is the highest probability of missing the aim on a worker with which the worker may be preferred because
+	// it is slow or unknown. lowRisk and highRisk limit tierFast and tierRisky.
 	safeRisk = 0.1
 	lowRisk  = 0.25
 	highRisk = 0.6
-	// durationMargin is the factor by which tasks of a step take longer than the expected ones; they differ by 15 to 30 %.
+	// durationMargin is the factor by which tasks of a step take longer than the expected ones; they differ by 15 to 30
+	// %.
 	durationMargin = 1.15
 	// lateLimitFactor times the aim is how late a result is of some use.
 	lateLimitFactor = 3
@@ -40,8 +41,8 @@
 // speedPreference ranks the workers of a service for a unit.
 type speedPreference struct {
 	tracker *speed.Tracker
-	// maxFactor is the relative duration up to which a worker is fast enough. Zero means that the unit cannot be in time
-	// anywhere, so that the fastest workers come first.
+	// maxFactor is the relative duration up to which a worker is fast enough. Zero means that the unit cannot be in
+	// time anywhere, so that the fastest workers come first.
 	maxFactor float64
 	gang      bool
 }
@@ -71,8 +72,8 @@
 	return pref
 }
 
-// maxFactor returns the relative duration of a worker up to which work of an expected duration fits into its time with the
-// given slack.
+// maxFactor returns the relative duration of a worker up to which work of an expected duration fits into its time with
+// the given slack.
 func maxFactor(expected, slack time.Duration) float64 {
 	return float64(expected+slack) / float64(expected) / durationMargin
 }
@@ -107,7 +108,8 @@
 }
 
 // packPreferred returns the workers for n tasks by pack, or by packInRack, with the preferred workers if the tasks fit
-// there. A gang is as slow as its slowest worker, so that slow workers are not mixed with fast ones if that can be avoided.
+// there. A gang is as slow as its slowest worker, so that slow workers are not mixed with fast ones if that can be
+// avoided.
 func packPreferred(cs []candidate, need batch.Resources, n int, oneRack bool) []string {
 	place := pack
 	if oneRack {
@@ -131,11 +133,12 @@
 	return place(cs, need, n)
 }
 
-// fasterWait is how long an urgent unit waits for capacity on faster workers that preemption frees. Stopping tasks takes
-// about 0.2 s and recording the assignment less; within a guarantee the unit has to start after 2.7 s.
+// fasterWait is how long an urgent unit waits for capacity on faster workers that preemption frees. Stopping tasks
+// takes about 0.2 s and recording the assignment less; within a guarantee the unit has to start after 2.7 s.
 const fasterWait = 500 * time.Millisecond
 
-// fastEnough returns the groups without the workers on which the unit probably misses its aim, and whether there are any.
+// fastEnough returns the groups without the workers on which the unit probably misses its aim, and whether there are
+// any.
 func fastEnough(groups [][]candidate) (faster [][]candidate, differ bool) {
 	for _, g := range groups {
 		f := slices.DeleteFunc(slices.Clone(g), func(c candidate) bool { return c.tier == tierMissed })
@@ -145,8 +148,8 @@
 	return faster, differ
 }
 
-// waitsForFaster reports whether an urgent unit that could start on the given workers waits instead for capacity on faster
-// ones, which preemption frees, since it would miss its aim otherwise. That happens once for each step.
+// waitsForFaster reports whether an urgent unit that could start on the given workers waits instead for capacity on
+// faster ones, which preemption frees, since it would miss its aim otherwise. That happens once for each step.
 func (p *planner) waitsForFaster(u unit, nodes []string) bool {
 	s := u.step
 	if u.queue.Priority != 0 {
--- a/internal/scheduler/worker_speed.go
+++ b/internal/scheduler/worker_speed.go
@@ -33,8 +33,8 @@
 	return c.speeds(w.info.Service).Class(w.node)
 }
 
-// workerFactor returns how long the worker on a node takes relative to a typical one. It is exactly 1 for workers that are
-// not known to be fast or slow, so that noise changes nothing where workers are alike.
+// workerFactor returns how long the worker on a node takes relative to a typical one. It is exactly 1 for workers that
+// are not known to be fast or slow, so that noise changes nothing where workers are alike.
 func (c *Core) workerFactor(node string) float64 {
 	w := c.workers[node]
 	if class := c.speedClass(w); class != speed.Fast && class != speed.Slow {
@@ -97,8 +97,8 @@
 	}
 }
 
-// observeReportedSpeed is observeSpeed for a percentage that a worker has reported, which is rounded down. It leaves out
-// members of a gang that are done, since it is not known since when they wait for the others.
+// observeReportedSpeed is observeSpeed for a percentage that a worker has reported, which is rounded down. It leaves
+// out members of a gang that are done, since it is not known since when they wait for the others.
 func (c *Core) observeReportedSpeed(w *worker, t *task, percent int, now time.Duration) {
 	if percent < completePercent {
 		c.observeSpeed(w, t, float64(percent)+meanRoundingPercent, now)
--- a/internal/scheduler/worker_speed_test.go
+++ b/internal/scheduler/worker_speed_test.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// Guards against healthy runs on slow workers that are stopped as stragglers, and against a fault of a worker that passes
-// as its normal speed.
+// Guards against healthy runs on slow workers that are stopped as stragglers, and against a fault of a worker that
+// passes as its normal speed.
 func TestRunOnASlowWorkerIsComparedWithWhatIsExpectedThere(t *testing.T) {
 	for rate, moved := range map[float64]bool{13: false, 5: true} {
 		f := newFixture(t, "a", "b", "c", "d", "e", "g")
