scheduler: draw evacuations in the model test

Cause: starts in evacuated data centres were tested by single cases only, without faults on the way of the orders and the requests.

Change: the simulation has data centres, operators' requests with outages of the store, leaders that learn late of them, and agents that freeze and carry out their orders afterwards. Package rulecheck has the rule EVAC: no start is carried out later than the bound after the acknowledgement.

--- a/internal/rulecheck/checker.go
+++ b/internal/rulecheck/checker.go
@@ -10,6 +10,7 @@
 //	BUDGET   a task starts after it has used up its attempts, or for the third time after three workers have crashed
 //	         because of it
 //	LIMIT    a start brings a worker over its capacity
+//	EVAC     a task starts in a data centre although its evacuation was requested long enough before
 //	GANG     a member of a gang completes before all members have started
 //	CONFIG   a submission is accepted with a removed key
 //	REFUSED  a job runs although each submission was rejected
@@ -40,6 +41,9 @@
 	MaxKeyUseAfterRemoval time.Duration
 	// MaxStartAfterShrink is how long a capacity that has shrunk still counts.
 	MaxStartAfterShrink time.Duration
+	// MaxStartAfterEvacuation is how long after a request to evacuate a data centre was acknowledged a task may still start
+	// there.
+	MaxStartAfterEvacuation time.Duration
 }
 
 const (
@@ -70,7 +74,9 @@
 	startsAfterCrashes   map[batch.TaskID]int  // starts after crashesBeforeLimit crashes
 	cancelledAt          map[string]time.Duration
 	keyRemovedAt         map[string]time.Duration
-	partialGangs         bool // members of a gang may complete although others have not started
+	cells                map[string]string        // data centres of the workers
+	evacuatedAt          map[string]time.Duration // by data centre, while the request is in force
+	partialGangs         bool                     // members of a gang may complete although others have not started
 	violations           []string
 }
 
@@ -103,7 +109,8 @@
 		startCount: map[string]int{}, startedMembers: map[batch.TaskID]map[int]struct{}{}, completed: map[batch.TaskID]bool{},
 		acknowledged: map[batch.TaskID]bool{}, acknowledgedFailures: map[batch.TaskID]int{},
 		failures: map[batch.TaskID]int{}, crashes: map[batch.TaskID]int{}, crashesUnder: map[batch.TaskID]int{}, startsAfterCrashes: map[batch.TaskID]int{},
-		cancelledAt: map[string]time.Duration{}, keyRemovedAt: map[string]time.Duration{}}
+		cancelledAt: map[string]time.Duration{}, keyRemovedAt: map[string]time.Duration{}, cells: map[string]string{},
+		evacuatedAt: map[string]time.Duration{}}
 }
 
 // Violations returns a line for each violation, with its time and the rule's name.
@@ -164,6 +171,28 @@
 	w.capacities = append(w.capacities, capacity{at, resources})
 }
 
+// WorkerPlaced records the data centre of a worker, which all its incarnations share.
+func (c *Checker) WorkerPlaced(name, cell string) { c.cells[name] = cell }
+
+// EvacuationRequested records that a request to evacuate a data centre was acknowledged.
+func (c *Checker) EvacuationRequested(cell string, at time.Duration) {
+	if _, known := c.evacuatedAt[cell]; !known {
+		c.evacuatedAt[cell] = at
+	}
+}
+
+// EvacuationWithdrawn records that a data centre is taken back. It is called when the change is sent.
+func (c *Checker) EvacuationWithdrawn(cell string) { delete(c.evacuatedAt, cell) }
+
+// checkEvacuation checks that a start is not too late for the evacuation of the worker's data centre.
+func (c *Checker) checkEvacuation(name string, task batch.TaskID, run int, at time.Duration) {
+	cell := c.cells[name]
+	if requested, ok := c.evacuatedAt[cell]; ok && at > requested+c.limits.MaxStartAfterEvacuation {
+		c.AddViolation(at, "EVAC: %v run %d starts on %s in %s, %v after the request to evacuate it", task, run, name, cell,
+			at-requested)
+	}
+}
+
 // TaskCrashedWorker records that a run of a task crashed its worker. WorkerTerminated follows.
 func (c *Checker) TaskCrashedWorker(task batch.TaskID) { c.crashes[task]++ }
 
@@ -207,6 +236,7 @@
 // RunStartedLate is RunStarted for an order that the worker carried out long after it was sent. Rules on crashes and
 // capacities do not apply to it.
 func (c *Checker) RunStartedLate(name string, task batch.TaskID, run int, payload string, at time.Duration) {
+	c.checkEvacuation(name, task, run, at)
 	step := c.step(task)
 	if step == nil || task.Index >= step.Count {
 		c.AddViolation(at, "UNASKED: %v was never submitted", task)
--- a/internal/rulecheck/checker_test.go
+++ b/internal/rulecheck/checker_test.go
@@ -116,6 +116,17 @@
 			crash(c, a, 2)
 			c.FinalStateReported("j", batch.Failed, false, 1)
 		}},
+		"evacuated data centre": {"EVAC", func(c *Checker) {
+			c.EvacuationRequested("z", time.Second)
+			c.EvacuationRequested("z", 4*time.Second)
+			start(c, "w", a, 1, 7)
+		}},
+		"evacuated just now": {"", func(c *Checker) { c.EvacuationRequested("z", time.Second); start(c, "w", a, 1, 6) }},
+		"taken back": {"", func(c *Checker) {
+			c.EvacuationRequested("z", time.Second)
+			c.EvacuationWithdrawn("z")
+			start(c, "w", a, 1, 7)
+		}},
 		"partial gang":                {"GANG", func(c *Checker) { start(c, "w", gang, 1, 0); done(c, gang) }},
 		"refused":                     {"REFUSED", func(c *Checker) { start(c, "w", a, 1, 0); c.JobRefused("j", 1) }},
 		"lost":                        {"LOST", func(c *Checker) { c.FinalStateReported("j", batch.Running, false, 1) }},
@@ -133,7 +144,9 @@
 	}
 	for name, tc := range cases {
 		c := New(Limits{MaxAttempts: 1, MaxStartAfterCancel: 5 * time.Second, MaxKeyUseAfterRemoval: 5 * time.Second,
-			MaxStartAfterShrink: 5 * time.Second, MaxRunAfterCancel: 5 * time.Second})
+			MaxStartAfterShrink: 5 * time.Second, MaxRunAfterCancel: 5 * time.Second,
+			MaxStartAfterEvacuation: 5 * time.Second})
+		c.WorkerPlaced("w", "z")
 		c.JobSubmitted(batch.Job{ID: "c", Payload: "p", Steps: []batch.Step{{Count: 2,
 			Need: batch.Resources{Accelerators: 3}}}})
 		c.JobSubmitted(batch.Job{ID: "j", Payload: "p", Steps: []batch.Step{{Count: 1}, {Count: 1, After: []int{0}}}})
--- a/internal/scheduler/evacuation_test.go
+++ b/internal/scheduler/evacuation_test.go
@@ -138,3 +138,55 @@
 		t.Error("the lease of runs in an evacuated data centre was not extended")
 	}
 }
+
+// useEvacuation lets a simulated deployment use evacuation.
+func (s *sim) useEvacuation() {
+	s.config.EvacuationBound = simEvacuationBound
+	s.core.config.EvacuationBound = simEvacuationBound
+	s.core.SetEvacuations(s.requestsAt(s.now))
+	s.pollRequests(s.core)
+}
+
+// drawEvacuations draws requests to evacuate one to three data centres, which may overlap, are repeated and taken back, also
+// during outages of the store and around a change of leader; and leaders that do not learn of them. Jobs arrive and agents
+// freeze at the same time, so that starts are on their way when the bound has passed.
+func (s *sim) drawEvacuations() {
+	s.useEvacuation()
+	for _, w := range s.workers[:simCells] {
+		s.after(45*time.Second, func() { s.request(w.cell, false) }) // an outage may reverse the order of two changes
+	}
+	for n := range 8 {
+		cell := s.workers[s.rng.IntN(simCells)].cell
+		s.after(s.between(time.Second, 30*time.Second), func() {
+			s.request(cell, true)
+			s.after(s.between(0, 14*time.Second), func() { s.request(cell, false) })
+			for i := range 3 {
+				s.after(s.between(0, simEvacuationBound), func() { s.submit(s.randomJob(1000 + 3*n + i)) })
+			}
+			for _, w := range s.workers {
+				if w.cell == cell {
+					s.after(s.between(2*time.Second, simEvacuationBound), func() {
+						s.freeze(w, s.between(200*time.Millisecond, 3*time.Second))
+					})
+				}
+			}
+			if s.rng.IntN(2) == 0 {
+				s.after(s.between(0, 2*time.Second), s.replaceLeader)
+			}
+			if s.rng.IntN(2) == 0 {
+				s.watchDownUntil = s.now + s.between(time.Second, 9*time.Second)
+			}
+			if s.rng.IntN(4) == 0 {
+				s.storeDownUntil = s.now + s.between(0, 6*time.Second)
+			}
+		})
+	}
+}
+
+// TestNothingStartsInEvacuatedCellsUnderFaults guards against a start that is carried out in an evacuated data centre after
+// the bound, whichever faults delay the order, the request or its withdrawal.
+func TestNothingStartsInEvacuatedCellsUnderFaults(t *testing.T) {
+	for _, seed := range seeds() {
+		checkScenario(t, seed, (*sim).drawEvacuations)
+	}
+}
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/rulecheck"
 )
@@ -33,6 +34,9 @@
 	StopTimeout: 200 * time.Millisecond, GangWait: 3 * time.Second, RemoteFactor: 3, FinalStateRetention: time.Hour,
 	RestoreTime: 600 * time.Millisecond}
 
+// simEvacuationBound is the bound of the simulated days that draw evacuations.
+const simEvacuationBound = 5 * time.Second
+
 // simCancelTime is the time within which runs of a cancelled job must be told to stop.
 const simCancelTime = 3 * time.Second
 
@@ -52,6 +56,7 @@
 // simWorker is a simulated worker with its lease and its unacknowledged ended runs. Its clock runs 2% slow.
 type simWorker struct {
 	node             string
+	cell             string // data centre
 	incarnation      batch.Incarnation
 	alive            bool
 	lease            int64 // end of the lease in milliseconds on the worker's clock
@@ -62,6 +67,7 @@
 	endCount         int64
 	highestEnded     map[batch.TaskID]int // the highest run number that was stopped or ended
 	partitionedUntil time.Duration        // no message is delivered until then
+	frozenUntil      time.Duration        // orders are carried out then, in the order in which they were sent
 	knownIncarnation batch.Incarnation    // known to the agent, which learns of a new one from an announcement
 	leaving          bool
 	capacity         int  // accelerators
@@ -72,6 +78,9 @@
 // simAnnounceInterval is the longest time until the agent learns of a change of its worker.
 const simAnnounceInterval = 400 * time.Millisecond
 
+// simCells is the number of data centres.
+const simCells = 3
+
 // simAccelerators is the number of accelerators of a worker that has not shrunk.
 const simAccelerators = 8
 
@@ -115,6 +124,18 @@
 	longWork    time.Duration // work of every task; zero for random short work
 	handover    []byte        // of the last leader; nil if it has not resigned
 	uneven      bool          // every third worker takes 2.4 times as long as the others, and tasks of a step are alike
+
+	config Config
+	// requests holds the requests to evacuate data centres that the store has acknowledged, the last element those in force.
+	requests []simRequests
+	// watchDownUntil is until when the leader does not learn of changes of the requests.
+	watchDownUntil time.Duration
+}
+
+// simRequests are the requests in force from a time on.
+type simRequests struct {
+	since time.Duration
+	set   evacuation.Set
 }
 
 type stored struct {
@@ -131,12 +152,16 @@
 	s := &sim{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), base: time.Unix(1_800_000_000, 0),
 		store: map[string]stored{}, jobs: map[string]batch.Job{}, cancelled: map[string]time.Duration{},
 		now: time.Second, checker: rulecheck.New(rulecheck.Limits{MaxAttempts: simQueue(0).MaxAttempts,
-			MaxStartAfterCancel: simConfig.Lease + 3*time.Second,
-			MaxRunAfterCancel:   simCancelTime + simConfig.StopTimeout,
-			MaxStartAfterShrink: 4*time.Second + simAnnounceInterval}),
+			MaxStartAfterCancel:     simConfig.Lease + 3*time.Second,
+			MaxRunAfterCancel:       simCancelTime + simConfig.StopTimeout,
+			MaxStartAfterShrink:     4*time.Second + simAnnounceInterval,
+			MaxStartAfterEvacuation: simEvacuationBound}),
+		config: simConfig, requests: []simRequests{{}},
 		crashDelays: map[batch.TaskID]time.Duration{}}
 	for i := range workers {
-		w := &simWorker{node: fmt.Sprintf("w%d", i), capacity: simAccelerators, enforces: true}
+		w := &simWorker{node: fmt.Sprintf("w%d", i), cell: fmt.Sprintf("z%d", i%simCells), capacity: simAccelerators,
+			enforces: true}
+		s.checker.WorkerPlaced(w.node, w.cell)
 		s.workers = append(s.workers, w)
 		s.startWorker(w)
 	}
@@ -191,9 +216,13 @@
 	s.term++
 	klog.InfoS("SIM leader", "at", s.now, "term", s.term)
 	s.termAt = s.now
-	c := NewCore(simConfig, s.now)
+	c := NewCore(s.config, s.now)
 	c.inherit(decodeHandover(s.handover))
 	s.core = c
+	if s.config.EvacuationBound > 0 { // the process may have been cut off before, so that its state is outdated
+		c.SetEvacuations(s.requestsAt(s.now - s.between(0, 2*simEvacuationBound)))
+		s.pollRequests(c)
+	}
 	c.SetCatalog(&batch.Catalog{Version: 1, Queues: []batch.Queue{simQueue(0), simQueue(1), simQueue(2)}})
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j, r := s.jobs[id], s.store[id]
@@ -209,6 +238,57 @@
 	}
 }
 
+// requestsAt returns the requests as the store would have confirmed them at a time.
+func (s *sim) requestsAt(at time.Duration) evacuation.View {
+	v := evacuation.View{ConfirmedAt: at}
+	for _, r := range s.requests {
+		if r.since <= at {
+			v.Requests = r.set
+		}
+	}
+	return v
+}
+
+// pollRequests lets a leader poll the requests for as long as it leads.
+func (s *sim) pollRequests(c *Core) {
+	if s.core != c {
+		return
+	}
+	sent := s.now
+	s.after(s.between(0, time.Second), func() {
+		if s.now < max(s.storeDownUntil, s.watchDownUntil) {
+			s.after(100*time.Millisecond, func() { s.pollRequests(c) })
+			return
+		}
+		v := evacuation.View{Requests: s.requestsAt(s.now).Requests, ConfirmedAt: sent}
+		s.after(s.latency(), func() {
+			if s.core == c {
+				c.SetEvacuations(v)
+			}
+			s.pollRequests(c)
+		})
+	})
+}
+
+// request has operators request the evacuation of a data centre, or take it back, once the store answers.
+func (s *sim) request(cell string, evacuate bool) {
+	if s.now < s.storeDownUntil {
+		s.after(s.storeDownUntil-s.now, func() { s.request(cell, evacuate) })
+		return
+	}
+	set := s.requestsAt(s.now).Requests
+	klog.InfoS("SIM evacuation", "at", s.now, "cell", cell, "evacuate", evacuate)
+	s.revision++
+	if evacuate {
+		set = set.With(evacuation.Request{Cell: cell, Revision: s.revision})
+		s.checker.EvacuationRequested(cell, s.now)
+	} else {
+		set = set.Without(cell)
+		s.checker.EvacuationWithdrawn(cell)
+	}
+	s.requests = append(s.requests, simRequests{s.now, set})
+}
+
 func simQueue(priority int) batch.Queue {
 	return batch.Queue{Name: fmt.Sprintf("q%d", priority), Service: "s", Priority: priority, MaxAttempts: 4,
 		SlackFactor: 3}
@@ -251,7 +331,7 @@
 			s.ackEnds(w, ack)
 		}
 		report := Report{Node: w.node, SentAt: sentAt, AckedThrough: ack, Worker: &batch.Worker{
-			Incarnation: w.knownIncarnation, Service: "s", Rack: w.node[:1],
+			Incarnation: w.knownIncarnation, Service: "s", Rack: w.node[:1], Cell: w.cell,
 			Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: w.announced}, Leaving: w.leaving,
 			Sequence: s.now.Milliseconds()}, Runs: w.report(s.now)}
 		s.after(s.latency(), func() {
@@ -264,6 +344,12 @@
 	})
 }
 
+// freeze suspends the agent of a worker for some time.
+func (s *sim) freeze(w *simWorker, d time.Duration) {
+	w.frozenUntil = s.now + d
+	w.partitionedUntil = max(w.partitionedUntil, w.frozenUntil)
+}
+
 // ackEnds removes the ended runs up to number n from the worker's list.
 func (s *sim) ackEnds(w *simWorker, n int64) {
 	s.checker.EndsAcknowledged(w.node, n)
@@ -296,6 +382,9 @@
 		}
 	}
 	lease, ok := c.GrantLease(o.Node, o.Incarnation)
+	if o.Kind == OrderStart {
+		lease, ok = c.GrantStart(o.Node, o.Incarnation)
+	}
 	answer := func(v batch.Verdict) {
 		s.after(s.latency(), func() {
 			if s.core == c {
@@ -322,6 +411,14 @@
 			}
 		})
 		s.after(400*time.Millisecond, func() { answer(batch.VerdictUnknown) })
+	case s.now < w.frozenUntil:
+		incarnation := w.incarnation
+		s.after(w.frozenUntil-s.now, func() {
+			if w.alive && w.incarnation == incarnation {
+				s.executeOrder(w, o, fence, lease, true)
+			}
+		})
+		s.after(400*time.Millisecond, func() { answer(batch.VerdictUnknown) })
 	case s.now < w.partitionedUntil || !w.alive:
 		s.after(400*time.Millisecond, func() { answer(batch.VerdictUnknown) })
 	default:
