scheduler: limit the runs on cold workers and do not judge them

Cause: workers are slow for a while after their start. After a data centre was taken back its empty workers got all new work at once, and their runs counted as stragglers and raised the expected durations.

Change: a heartbeat's remaining cold time is part of the announcement. A cold worker gets at most coldOverage x the mean number of runs on the warm workers of its service, plus coldSlack (both zero: no limit); only runs that are known to be in progress count on the warm ones. Duration statistics and straggler detection leave out the time on cold workers, so they are not quarantined either; the progress of a run is measured anew once its worker is warm.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -24,6 +24,8 @@
 	// until then.
 	Leaving     bool  `json:"leaving,omitempty"`
 	LeavingInMS int64 `json:"leaving_in_ms,omitempty"`
+	// ColdForMS is how much longer, from the announcement on, the worker is slow after its start.
+	ColdForMS int64 `json:"cold_for_ms,omitempty"`
 	// Sequence orders the announcements of one incarnation.
 	Sequence int64 `json:"seq"`
 }
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -86,6 +86,8 @@
 		FinalStateRetention: platform.Seconds(b.StatusS),
 		RestoreTime:         platform.Milliseconds(b.RestoreMS),
 		EvacuationBound:     platform.Milliseconds(b.EvacuateMS),
+		ColdOverage:         b.ColdOverage,
+		ColdSlack:           b.ColdSlack,
 	}, watcher, meter, scheduler.NewMetrics(m.Scope))
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -41,6 +41,9 @@
 	// EvacuationBound is the time from the acknowledgement of a request to evacuate a data centre after which nothing may
 	// start there. Zero means that the deployment does not use such requests.
 	EvacuationBound time.Duration
+	// ColdOverage and ColdSlack limit the runs on a worker that is still slow after its start: to ColdOverage times the mean
+	// number of runs on the warm workers of its service, plus ColdSlack. Both zero means no limit.
+	ColdOverage, ColdSlack float64
 }
 
 // clockDriftFactor allows for a worker's clock that runs 2% slow.
@@ -90,6 +93,7 @@
 	evacuations        evacuation.View
 	startsHeld         bool                      // nothing may start, see mayStart
 	speedTrackers      map[string]*speed.Tracker // by service
+	lastColdUntil      time.Duration             // when all workers that were announced as cold are warm
 }
 
 // Stats counts events of runs and tasks since the leader took over.
--- a/internal/scheduler/estimates.go
+++ b/internal/scheduler/estimates.go
@@ -33,10 +33,10 @@
 	return d
 }
 
-// recordDuration adds the duration of a successful run, scaled to typical workers, to the statistics. Runs away from their data, runs that resumed
-// from a checkpoint, and runs that this leader has not seen running do not count.
+// recordDuration adds the duration of a successful run, scaled to typical workers, to the statistics. Runs away from their
+// data, on cold workers, runs that resumed from a checkpoint, and runs that this leader has not seen running do not count.
 func (c *Core) recordDuration(t *task, now time.Duration) {
-	if !t.confirmed || t.basePercent < 0 || t.basePercent > maxFreshPercent {
+	if !t.confirmed || t.basePercent < 0 || t.basePercent > maxFreshPercent || c.coldSince(t, t.startedAt) {
 		return
 	}
 	took := time.Duration(float64(now-t.startedAt) / c.runFactor(t))
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -101,9 +101,7 @@
 		totalFit -= max(c.fitCount, 0)
 		c.free = c.free.Plus(r.capacity)
 		c.fitCount = need.FitCount(c.free)
-		if m := u.step.spec.MaxPerWorker; m > 0 {
-			c.fitCount = min(c.fitCount, m-u.step.countOn(c.node))
-		}
+		c.fitCount = min(c.fitCount, p.maxAdded(u, p.core.workers[c.node]))
 		totalFit += max(c.fitCount, 0)
 		if totalFit < n {
 			continue
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -40,7 +40,8 @@
 func (c *Core) newPlanner(now time.Duration) *planner {
 	p := &planner{core: c, now: now, free: map[string]batch.Resources{}, capacities: map[string]*serviceCapacity{},
 		reservedFrom: map[string]time.Duration{}, noFit: map[shape]time.Duration{}, fitsNear: map[shape]bool{},
-		withheld: map[string]batch.Resources{}, startingOn: map[string]bool{}, isolatedOn: map[string]bool{}}
+		withheld: map[string]batch.Resources{}, startingOn: map[string]bool{}, isolatedOn: map[string]bool{},
+		coldLimits: c.coldLimits(now)}
 	for _, w := range c.sortedWorkers {
 		if w.usable(now) && !c.evacuated(w) {
 			p.addWorker(w)
@@ -68,6 +69,8 @@
 	isolatedOn       map[string]bool            // workers on which isolated tasks are in progress
 	// headroom is the number of accelerators that less urgent units leave free while they can wait.
 	headroom float64
+	// coldLimits holds by service the most runs that a cold worker may have; nil for no limit.
+	coldLimits map[string]int
 }
 
 // place assigns a unit, or claims or reserves capacity for it.
@@ -126,9 +129,7 @@
 			continue
 		}
 		cand := candidate{node: w.node, rack: w.info.Rack, free: available, fitCount: need.FitCount(available)}
-		if s.spec.MaxPerWorker > 0 {
-			cand.fitCount = min(cand.fitCount, s.spec.MaxPerWorker-s.countOn(w.node))
-		}
+		cand.fitCount = min(cand.fitCount, p.maxAdded(u, w))
 		if cand.fitCount <= 0 && !includeFull {
 			continue
 		}
@@ -265,7 +266,7 @@
 			empty[w.node] = w.largest
 		}
 	}
-	u.suspect, u.isolated, u.anywhere = false, false, true
+	u.suspect, u.isolated, u.anywhere, u.onEmptyWorkers = false, false, true, true
 	cs := p.candidates(u, empty, false)
 	fits := false
 	if s.Gang && s.OneRack {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -224,6 +224,9 @@
 	if s := u.step.spec; s.MaxPerWorker > 0 {
 		limit = min(limit, s.MaxPerWorker)
 	}
+	if p.coldLimits != nil && w.cold(p.now) {
+		limit = min(limit, p.maxAdded(u, w))
+	}
 	floor := 0.0
 	for len(slots) < limit {
 		sl := slot{node: c.node}
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -346,6 +346,7 @@
 		if run.Percent != t.percent {
 			t.percent, t.progressAt = run.Percent, now
 		}
+		c.restartPace(t, run.Percent, now)
 		if reason := c.straggleReason(t, now); reason != "" {
 			c.moveStraggler(w, t, reason, now)
 		}
--- a/internal/scheduler/straggler.go
+++ b/internal/scheduler/straggler.go
@@ -41,7 +41,7 @@
 // straggleReason returns why a run should be stopped and started on another worker, or an empty string.
 func (c *Core) straggleReason(t *task, now time.Duration) string {
 	if t.phase != assigned || !t.confirmed || t.basePercent < 0 || t.moves >= maxMoves || t.step.spec.LongRunning ||
-		t.percent >= completePercent {
+		t.percent >= completePercent || c.coldSince(t, t.paceSince) {
 		return ""
 	}
 	usual := max(c.expectedDuration(t.step), c.durationStats(t.step.job().Queue.Name).mean)
@@ -80,7 +80,7 @@
 }
 
 // peerTimes returns the actual or projected total times of the other tasks of the step, scaled to typical workers. Tasks
-// on the same worker are left out.
+// on the same worker are left out, and so are those on cold workers.
 func (c *Core) peerTimes(t *task, now time.Duration) []time.Duration {
 	var times []time.Duration
 	for _, o := range t.step.tasks {
@@ -88,7 +88,8 @@
 		case o == t || o.node != "" && o.node == t.node:
 		case o.phase == done && o.runTime > 0:
 			times = append(times, o.runTime)
-		case o.phase == assigned && o.confirmed && o.basePercent >= 0 && now-o.paceSince >= minJudgedTime:
+		case o.phase == assigned && o.confirmed && o.basePercent >= 0 && now-o.paceSince >= minJudgedTime &&
+			!c.coldSince(o, o.paceSince):
 			times = append(times, time.Duration(float64(o.projectedTime(now))/c.workerFactor(o.node)))
 		}
 	}
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -22,6 +22,8 @@
 	apartUntil  time.Duration   // until when a suspect unit waits for workers on which no other run is starting
 	isolated    bool            // the tasks do not share their workers with others
 	anywhere    bool            // the unit may start beside isolated tasks
+	// onEmptyWorkers means that the unit is compared with what workers could hold apart from their runs and their state.
+	onEmptyWorkers bool
 }
 
 // units returns the units that can be placed, the most urgent first.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -47,8 +47,9 @@
 	unexplained []unexplainedCrash // of the last crashMemory
 	// hasUnresolved means that runs of the worker were lost of which it is not known whether it has crashed.
 	hasUnresolved bool
-	speedClass    speed.Class // as last logged
-	speedRestored bool        // the estimate of a previous leader was taken over, or rejected
+	speedClass    speed.Class   // as last logged
+	speedRestored bool          // the estimate of a previous leader was taken over, or rejected
+	coldUntil     time.Duration // when the current incarnation is, or was, no longer slow after its start
 }
 
 // worker returns the state of a worker and creates it if necessary. A new one may still hold a lease of the previous
@@ -268,6 +269,12 @@
 	}
 	w.info = info
 	w.largest = w.largest.Max(info.Capacity)
+	if before != nil && before.Incarnation != info.Incarnation {
+		w.coldUntil = 0
+	}
+	if before == nil || before.Incarnation != info.Incarnation || before.Sequence != info.Sequence {
+		c.updateCold(w, info, now)
+	}
 	if before != nil && before.Incarnation != info.Incarnation {
 		w.epoch++
 		if w.replaced == nil {
