scheduler: move running work out of evacuated data centres

Cause: runs in an evacuated data centre stayed until they ended, long-running ones for ever, and nobody was told of guarantees that no longer fit.

The planner calls it after the waiting units, stops the runs with the loss cause "evacuated", and claims the very workers of the decision. Nothing of it is recorded: the next leader decides again by requests and reports. Guarantees that exceed the other data centres are logged, explained and exported as guaranteed_accelerators_missing; runs_relocated counts the moves.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -94,6 +94,7 @@
 	startsHeld         bool                      // nothing may start, see mayStart
 	speedTrackers      map[string]*speed.Tracker // by service
 	lastColdUntil      time.Duration             // when all workers that were announced as cold are warm
+	missingGuarantees  int                       // see noteMissingGuarantees
 }
 
 // Stats counts events of runs and tasks since the leader took over.
@@ -102,6 +103,7 @@
 	Crashed                                                int64 // workers
 	GivenUp                                                int64 // tasks that crash their workers
 	RestartedLate                                          int64 // runs, or those of a gang, see restartLateRuns
+	Relocated                                              int64 // runs stopped to leave an evacuated data centre
 }
 
 // NewCore returns a core without jobs and workers.
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -56,3 +56,25 @@
 	// The worker's clock was read before the report was received, so the result is early rather than late.
 	return min(until, w.workerClockMS+(c.startsUntil()-w.reportedAt).Milliseconds()), true
 }
+
+// noteMissingGuarantees notes by how many accelerators the guarantees of all teams exceed what the data centres hold that
+// are not evacuated. It reports a change.
+func (c *Core) noteMissingGuarantees() {
+	missing, guaranteed, available := 0, 0, 0
+	if len(c.evacuations.Requests.Requests()) > 0 {
+		for i := range c.catalog.Teams {
+			guaranteed += c.catalog.Teams[i].GuaranteedAccelerators
+		}
+		for _, w := range c.sortedWorkers {
+			if w.info != nil && !w.info.Leaving && !w.deregistered && !c.evacuated(w) {
+				available += w.info.Capacity.Accelerators
+			}
+		}
+		missing = max(0, guaranteed-available)
+	}
+	if missing != c.missingGuarantees {
+		klog.InfoS("Guarantees outside evacuated data centres changed", "missing", missing, "before", c.missingGuarantees,
+			"guaranteed", guaranteed, "available", available)
+		c.missingGuarantees = missing
+	}
+}
--- a/internal/scheduler/evacuation_test.go
+++ b/internal/scheduler/evacuation_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -139,6 +140,30 @@
 	}
 }
 
+// TestMissingGuaranteesAreReported guards against a guarantee that silently no longer fits, and against one that blocks
+// other work.
+func TestMissingGuaranteesAreReported(t *testing.T) {
+	t.Parallel()
+	f := evacuationFixture(t)
+	catalog := *f.c.catalog
+	catalog.Teams = []batch.Team{{Name: "t", GuaranteedAccelerators: 12}}
+	f.c.SetCatalog(&catalog)
+	f.confirm(0, "a")
+	f.submit("00000000000000a1", 2, 0, oneAccelerator)
+	if on := startedOn(f.planAndCommit(time.Second)); on["w-b"] != 8 {
+		t.Errorf("starts %v, want 8 on w-b", on)
+	}
+	s := f.c.jobs["00000000000000a1"].occurrences[0].steps[0]
+	if reason := f.c.waitReason(s, time.Second); !strings.Contains(reason, "by 4 accelerators") {
+		t.Errorf("reason %q, want the 4 missing accelerators", reason)
+	}
+	f.confirm(time.Second)
+	f.planAndCommit(time.Second + planInterval)
+	if n := f.c.missingGuarantees; n != 0 {
+		t.Errorf("%d guaranteed accelerators are missing after the data centre was taken back", n)
+	}
+}
+
 // useEvacuation lets a simulated deployment use evacuation.
 func (s *sim) useEvacuation() {
 	s.config.EvacuationBound = simEvacuationBound
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -101,5 +101,9 @@
 	if evacuated > 0 {
 		reason += fmt.Sprintf("; %d workers are in evacuated data centres", evacuated)
 	}
+	if c.missingGuarantees > 0 {
+		reason += fmt.Sprintf("; the guarantees of all teams exceed the other data centres by %d accelerators",
+			c.missingGuarantees)
+	}
 	return reason
 }
--- a/internal/scheduler/lost_work.go
+++ b/internal/scheduler/lost_work.go
@@ -25,6 +25,7 @@
 	LossMemberLost      LossCause = "member_lost"
 	LossOrder           LossCause = "order" // a start refused or not answered, or a run that is not listed any more
 	LossEnded           LossCause = "ended_otherwise"
+	LossEvacuated       LossCause = "evacuated" // runs that move out of an evacuated data centre
 	LossRestarted       LossCause = "restarted" // runs of long-running tasks that have ended done
 )
 
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -52,6 +52,7 @@
 		{"runs_failed", now.Failed, m.lastStats.Failed}, {"tasks_done", now.Done, m.lastStats.Done},
 		{"workers_crashed", now.Crashed, m.lastStats.Crashed}, {"tasks_given_up", now.GivenUp, m.lastStats.GivenUp},
 		{"late_runs_restarted", now.RestartedLate, m.lastStats.RestartedLate},
+		{"runs_relocated", now.Relocated, m.lastStats.Relocated},
 	} {
 		if x.now > x.before {
 			m.scope.Counter(x.name).Inc(x.now - x.before)
@@ -60,6 +61,7 @@
 	m.lastStats = now
 	m.updateLostWork(c)
 	m.scope.Gauge("jobs_open").Update(float64(len(c.openJobs)))
+	m.scope.Gauge("guaranteed_accelerators_missing").Update(float64(c.missingGuarantees))
 	m.scope.Gauge("workers").Update(float64(len(c.workers)))
 	classes := map[speed.Class]int{}
 	for _, w := range c.sortedWorkers {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -34,6 +34,10 @@
 		p.place(u)
 	}
 	p.restartLateRuns()
+	c.noteMissingGuarantees()
+	if len(c.evacuations.Requests.Requests()) > 0 {
+		p.relocate()
+	}
 }
 
 // newPlanner returns a planner with the free capacity of all usable workers.
@@ -180,11 +184,14 @@
 
 // chooseNodes returns workers for n tasks of the unit within the free capacity, or nil.
 func (p *planner) chooseNodes(u unit, n int) []string {
+	if nodes := p.claimedNodes(u, n); nodes != nil {
+		return nodes
+	}
 	if p.mustStartNow(u, n) {
 		u.lastAttempt = false
 		return p.chooseNow(u, n)
 	}
-	if p.mustKeepHeadroom(u, n) {
+	if p.core.claims[u.step] == nil && p.mustKeepHeadroom(u, n) {
 		return nil
 	}
 	sh, cacheable := shapeOf(u, n)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -15,6 +15,7 @@
 	expires time.Duration
 	nodes   []string // one element per task
 	need    batch.Resources
+	exact   bool // the tasks are placed on these very workers if they fit
 }
 
 // claimTimeout limits the life of a claim. Stopping takes less time, and after the timeout the unit may claim again.
--- a/internal/scheduler/worker_speed.go
+++ b/internal/scheduler/worker_speed.go
@@ -89,7 +89,11 @@
 	if work < 1-meanRoundingPercent || took <= 0 {
 		return // the reported percentage has not changed
 	}
+	cold := w.coldUntil > t.observedAt
 	t.observedAt, t.observedPercent = now, percent
+	if cold {
+		return // a cold worker is slow for some time only
+	}
 	c.speeds(w.info.Service).Observe(w.node, t.speedGroup(), work/took.Seconds(), work, now)
 	c.noteSpeedClass(w)
 	if t.step.spec.Gang {
