scheduler: look for other workers only for runs that should move

Cause (found by reading the change): each plan compared each run in an evacuated data centre with all workers, also those that stay in any case.

Result: tests of scheduler and relocation pass; the time of a plan was not measured.

--- a/internal/scheduler/relocate.go
+++ b/internal/scheduler/relocate.go
@@ -32,8 +32,12 @@
 			if _, known := steps[u.step]; !known {
 				steps[u.step] = len(steps)
 			}
-			units = append(units, u)
-			snapshot.Units = append(snapshot.Units, p.relocationUnit(u, steps[u.step]))
+			r := p.relocationUnit(u, steps[u.step])
+			if !r.ShouldMove() {
+				continue
+			}
+			r.Hosts = p.relocationHosts(u)
+			units, snapshot.Units = append(units, u), append(snapshot.Units, r)
 		}
 	}
 	if len(units) == 0 {
@@ -75,7 +79,7 @@
 	return w.reached && w.downSince == never && now-w.reportedAt <= maxReportAge
 }
 
-// relocationUnit describes a unit for the decision to move it.
+// relocationUnit describes a unit for the decision to move it, without the workers on which it may run.
 func (p *planner) relocationUnit(u unit, step int) relocation.Unit {
 	c, s := p.core, u.step
 	r := relocation.Unit{Service: u.queue.Service, Step: step, Count: len(u.tasks), Need: s.spec.Reserved(),
@@ -89,7 +93,6 @@
 			r.Unavailable++
 		}
 	}
-	r.Hosts = p.relocationHosts(u)
 	return r
 }
 
--- a/internal/scheduler/relocation/relocation.go
+++ b/internal/scheduler/relocation/relocation.go
@@ -101,7 +101,7 @@
 func order(units []Unit) []int {
 	var indexes []int
 	for i := range units {
-		if units[i].shouldMove() {
+		if units[i].ShouldMove() {
 			indexes = append(indexes, i)
 		}
 	}
@@ -118,9 +118,9 @@
 	return indexes
 }
 
-// shouldMove reports whether a unit should run elsewhere if there is capacity. A run without checkpoints stays: stopping
+// ShouldMove reports whether a unit should run elsewhere if there is capacity. A run without checkpoints stays: stopping
 // it would lose all its work, and it ends by itself unless it is long-running.
-func (u *Unit) shouldMove() bool {
+func (u *Unit) ShouldMove() bool {
 	return u.LongRunning || u.Checkpoints && u.Remaining > finishGrace
 }
 
