query, scheduler: show evacuations and the teams' missing guarantees

Cause: operators saw neither which data centres are evacuated nor what still runs there, and which teams are concerned by guarantees that the rest of the fleet cannot hold.

Change: the table "evacuations" and the state "evacuated" of workers; explain names the evacuated data centres that a job could use. Metrics count evacuated data centres, the runs there, and starts that are withheld because the store does not confirm the requests.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -12,11 +12,11 @@
 
 // Request is an operator's request to evacuate a data centre.
 type Request struct {
-	Cell string // data centre
+	Cell string `json:"cell"` // data centre
 	// Revision is the revision of the request in the store. A request that is withdrawn and repeated has another one.
-	Revision kvstore.Revision
+	Revision kvstore.Revision `json:"revision"`
 	// Since is when this process learned of the request.
-	Since time.Time
+	Since time.Time `json:"since"`
 }
 
 // Set is the set of the requests in force. It is immutable; the zero value is empty.
--- a/internal/hosted/deployment_test.go
+++ b/internal/hosted/deployment_test.go
@@ -103,7 +103,7 @@
 		p.settings.BindAddresses.Control = at(2), at(3), at(4)
 	p.settings.Platform.Address = d.storeAddress
 	p.settings.Bounds = platform.Bounds{GraceS: 1, RevokeStrict: true, RevokeMS: 5000, MaxHoldMS: 6000, StopTimeoutMS: 200,
-		GangWaitMS: 3000, StatusS: 60, RemoteFactor: 3, VisibleMS: 300}
+		GangWaitMS: 3000, StatusS: 60, RemoteFactor: 3, VisibleMS: 300, EvacuateMS: 5000}
 	return p
 }
 
@@ -231,6 +231,37 @@
 	}
 }
 
+// Guards against an evacuation that operators cannot follow: neither the request nor what still runs there is shown, or a
+// waiting job does not tell what it waits for.
+func TestOperatorsFollowAnEvacuation(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.submitUntilAccepted(0, 1, standin.FourTaskJob(60_000))
+	d.eventually(5*time.Second, "running", func() bool { return d.state(0, 1) == "running" })
+	revision, err := d.store.Put(context.Background(), "op/evacuate/z", []byte(`{}`), 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addresses := []string{d.entries[0].settings.RPCAddress(), d.entries[1].settings.RPCAddress()}
+	shows := func(text, want string) func() bool {
+		return func() bool {
+			result, err := Query(context.Background(), addresses, text)
+			return err == nil && strings.Contains(string(result), want)
+		}
+	}
+	d.eventually(5*time.Second, "evacuated", shows("show workers where state = evacuated", `"side-1"`))
+	d.submitUntilAccepted(0, 2, standin.FourTaskJob(10))
+	d.eventually(5*time.Second, "explained", shows("explain job t/0000000000000002", "the evacuated data centres z"))
+	d.eventually(5*time.Second, "listed", shows("show evacuations where empty = no", fmt.Sprintf(`,%d,2,4,4,false]`, revision)))
+	if status, _ := d.call(0, "DELETE", 1, ""); status != 200 {
+		t.Fatalf("cancellation: status %d", status)
+	}
+	d.eventually(5*time.Second, "empty", shows("show evacuations where empty = yes", `"z"`))
+	if err := d.store.Delete(context.Background(), "op/evacuate/z", revision); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually(10*time.Second, "completed after the data centre is taken back", func() bool { return d.state(0, 2) == "completed" })
+}
+
 // If an agent restarts and the leader stops while tasks are running, no job is lost and no task is started twice.
 func TestRestartsLoseNothing(t *testing.T) {
 	d := newDeployment(t, 2)
--- a/internal/hosted/query.go
+++ b/internal/hosted/query.go
@@ -77,6 +77,13 @@
 			reply.Jobs = append(reply.Jobs, j)
 		}
 	}
-	view := query.NewView(time.Now(), scheduler.ConfigView(state.Catalog), []protocol.CellView{reply}, finished)
+	config := scheduler.ConfigView(state.Catalog)
+	config.Evacuations = state.Evacuations
+	view := query.NewView(time.Now(), config, []protocol.CellView{reply}, finished)
+	for _, g := range config.Guarantees {
+		if n := state.UnmetGuarantees[g.Team]; n > 0 {
+			view.UnmetGuarantees = append(view.UnmetGuarantees, query.UnmetGuarantee{Guarantee: g, MissingBlocks: n})
+		}
+	}
 	return query.Evaluate(q, view, query.Viewer{})
 }
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -1,6 +1,10 @@
 package model
 
-import "time"
+import (
+	"time"
+
+	"masticcart.example/masticcart/internal/evacuation"
+)
 
 // Class is the priority class of a kind of work.
 type Class string
@@ -66,6 +70,9 @@
 	Weights    Weights     `json:"weights"`
 	// OperatorTokenHashes are the hex SHA-256 hashes of the operators' tokens.
 	OperatorTokenHashes []string `json:"operator_token_hashes,omitempty"`
+	// Evacuations are the cells in which nothing may start. The revision of a request is the version of the configuration
+	// that contained it first.
+	Evacuations evacuation.Set `json:"evacuations,omitzero"`
 }
 
 // Team returns the team with this name, or nil.
--- a/internal/query/explain.go
+++ b/internal/query/explain.go
@@ -159,7 +159,7 @@
 	racks := make(map[string]int)
 	for i := range s.Upstreams {
 		w := &s.Upstreams[i]
-		if w.Identity.Kind != protocol.KindWorker || w.Identity.Cell != cell || upstreamState(w) != upstreamAlive {
+		if w.Identity.Kind != protocol.KindWorker || w.Identity.Cell != cell || s.upstreamState(w) != upstreamAlive {
 			continue
 		}
 		c.total += w.Identity.Units
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -99,6 +99,32 @@
 	}
 }
 
+// TestEvacuations guards against an evacuated cell that counts as empty while work runs there, and against a worker that
+// is shown as usable.
+func TestEvacuations(t *testing.T) {
+	v := testView()
+	v.Upstreams[0].Tasks = []protocol.TaskStatus{{Job: model.JobKey{Team: "zrkadlo", ID: "a"}, Phase: protocol.TaskRunning},
+		{Job: model.JobKey{Team: "zrkadlo", ID: "b"}, Phase: protocol.TaskDone}}
+	data := `[{"cell":"riga-2","revision":8,"since":"2026-01-02T03:00:00Z"},{"cell":"riga-1","revision":7}]`
+	if err := json.Unmarshal([]byte(data), &v.Config.Evacuations); err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]string{
+		"show evacuations where empty = no":    `["riga-1","0001-01-01T00:00:00Z",7,1,1,6,false]`,
+		"show evacuations where empty = yes":   `["riga-2","2026-01-02T03:00:00Z",8,0,0,0,true]`,
+		"show workers where state = evacuated": `"w1"`,
+		"explain job pramen/c":                 "0 of 0 accelerators free",
+	} {
+		r, err := runQuery(t, text, v, Viewer{})
+		if err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		if got, _ := json.Marshal(r); !strings.Contains(string(got), want) {
+			t.Errorf("%s: got %s, want %s", text, got, want)
+		}
+	}
+}
+
 // TestRendering guards against control characters that reach a terminal, and against a client that cannot decode the
 // JSON that the server sends or shows it differently.
 func TestRendering(t *testing.T) {
--- a/internal/query/tables.go
+++ b/internal/query/tables.go
@@ -38,10 +38,11 @@
 	upstreamAlive       = "alive"
 	upstreamLeaving     = "leaving"
 	upstreamQuarantined = "quarantined"
+	upstreamEvacuated   = "evacuated"
 	upstreamLost        = "lost"
 )
 
-var upstreamStates = []string{upstreamAlive, upstreamLeaving, upstreamQuarantined, upstreamLost}
+var upstreamStates = []string{upstreamAlive, upstreamLeaving, upstreamQuarantined, upstreamEvacuated, upstreamLost}
 
 var tables = map[string]*table{
 	"jobs": {
@@ -106,6 +107,14 @@
 		operatorsOnly: true,
 		rows:          lossRows,
 	},
+	"evacuations": {
+		columns: []column{
+			textColumn("cell"), textColumn("since"), numberColumn("version"), numberColumn("workers"),
+			numberColumn("runs"), numberColumn("in_use"), boolColumn("empty"),
+		},
+		operatorsOnly: true,
+		rows:          evacuationRows,
+	},
 }
 
 var statusTable = &table{
@@ -146,12 +155,15 @@
 	return max(0, end.Sub(r.job.Submitted)).Truncate(time.Second)
 }
 
-func upstreamState(u *protocol.UpstreamView) string {
+// upstreamState returns the state of an upstream. Only workers are evacuated.
+func (s *queryScope) upstreamState(u *protocol.UpstreamView) string {
 	switch {
 	case !u.Alive:
 		return upstreamLost
 	case u.Leaving:
 		return upstreamLeaving
+	case u.Identity.Kind == protocol.KindWorker && s.config.Evacuations.Contains(u.Identity.Cell):
+		return upstreamEvacuated
 	case u.Quarantined:
 		return upstreamQuarantined
 	}
@@ -165,28 +177,55 @@
 		if w.Identity.Kind != protocol.KindWorker {
 			continue
 		}
-		var jobs []string
-		for _, t := range w.Tasks {
-			if !t.Phase.Terminal() && t.Phase != protocol.TaskRemoved {
-				jobs = append(jobs, t.Job.String())
-			}
-		}
+		jobs := openJobs(w)
 		rows = append(rows, []Value{
 			textValue(w.Identity.Agent), textValue(w.Identity.Region), textValue(w.Identity.Cell),
-			textValue(w.Identity.Rack), textValue(upstreamState(w)), numberValue(w.Identity.Units),
+			textValue(w.Identity.Rack), textValue(s.upstreamState(w)), numberValue(w.Identity.Units),
 			numberValue(w.Free), listValue(jobs), numberValue(w.ConfigVersion), numberValue(w.Speed),
 		})
 	}
 	return rows
 }
 
+// openJobs returns the job of each task of a worker that has not ended.
+func openJobs(w *protocol.UpstreamView) []string {
+	var jobs []string
+	for _, t := range w.Tasks {
+		if !t.Phase.Terminal() && t.Phase != protocol.TaskRemoved {
+			jobs = append(jobs, t.Job.String())
+		}
+	}
+	return jobs
+}
+
+// evacuationRows lists the evacuated cells with what is left there. A lost worker counts while its tasks may be running.
+func evacuationRows(s *queryScope) [][]Value {
+	var rows [][]Value
+	for _, r := range s.config.Evacuations.Requests() {
+		workers, runs, inUse := 0, 0, 0
+		for i := range s.Upstreams {
+			w := &s.Upstreams[i]
+			n := len(openJobs(w))
+			if w.Identity.Kind != protocol.KindWorker || w.Identity.Cell != r.Cell || !w.Alive && n == 0 {
+				continue
+			}
+			workers, runs, inUse = workers+1, runs+n, inUse+max(0, w.Identity.Units-w.Free)
+		}
+		rows = append(rows, []Value{
+			textValue(r.Cell), textValue(r.Since.UTC().Format(time.RFC3339)), numberValue(int64(r.Revision)),
+			numberValue(workers), numberValue(runs), numberValue(inUse), boolValue(runs == 0 && inUse == 0),
+		})
+	}
+	return rows
+}
+
 func upstreamRows(s *queryScope) [][]Value {
 	rows := make([][]Value, 0, len(s.Upstreams))
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
 		rows = append(rows, []Value{
 			textValue(u.Identity.Agent), textValue(string(u.Identity.Kind)), textValue(u.Identity.Service),
-			textValue(u.Identity.Region), textValue(u.Identity.Cell), textValue(upstreamState(u)),
+			textValue(u.Identity.Region), textValue(u.Identity.Cell), textValue(s.upstreamState(u)),
 			numberValue(u.Identity.Units), numberValue(u.Free), numberValue(len(u.Tasks)),
 			numberValue(u.ConfigVersion),
 		})
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,6 +95,7 @@
 	speedTrackers      map[string]*speed.Tracker // by service
 	lastColdUntil      time.Duration             // when all workers that were announced as cold are warm
 	missingGuarantees  int                       // see noteMissingGuarantees
+	evacuationStatus   evacuationStatus
 }
 
 // Stats counts events of runs and tasks since the leader took over.
@@ -104,6 +105,8 @@
 	GivenUp                                                int64 // tasks that crash their workers
 	RestartedLate                                          int64 // runs, or those of a gang, see restartLateRuns
 	Relocated                                              int64 // runs stopped to leave an evacuated data centre
+	// PermissionsExpired counts how often starts were held because requests to evacuate were not confirmed in time.
+	PermissionsExpired int64
 }
 
 // NewCore returns a core without jobs and workers.
@@ -228,6 +231,7 @@
 	c.giveUpCrashingTasks(now, wall)
 	c.expireJobs(wall)
 	c.markCheckpointsDirty(now)
+	c.updateEvacuationStatus(now)
 	if c.planNeeded && now >= c.earliestPlan || now-c.plannedAt >= planInterval {
 		c.planNeeded = false
 		c.plannedAt = now
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -37,6 +37,9 @@
 			"confirmedMsAgo", (now - c.evacuations.ConfirmedAt).Milliseconds(),
 			"boundMs", c.config.EvacuationBound.Milliseconds())
 		c.startsHeld, c.planNeeded = !may, true
+		if !may {
+			c.stats.PermissionsExpired++
+		}
 	}
 	return may
 }
--- a/internal/scheduler/evacuation_test.go
+++ b/internal/scheduler/evacuation_test.go
@@ -215,3 +215,61 @@
 		checkScenario(t, seed, (*sim).drawEvacuations)
 	}
 }
+
+// TestUnmetGuaranteesAreSplit guards against a team that does not see its share of the guarantees without room, and against
+// a guaranteed gang that cannot be placed and keeps other work from starting.
+func TestUnmetGuaranteesAreSplit(t *testing.T) {
+	t.Parallel()
+	f := evacuationFixture(t)
+	catalog := *f.c.catalog
+	catalog.Version, catalog.Teams = 2, []batch.Team{{Name: "t", GuaranteedAccelerators: 10},
+		{Name: "u", GuaranteedAccelerators: 2}}
+	f.c.SetCatalog(&catalog)
+	at := 3 * time.Second
+	f.confirm(at, "a")
+	f.reportEverywhere(at)
+	gang := batch.Job{ID: "00000000000000a1", Queue: simQueue(0), Team: "t", AcceptedAt: f.wall.Add(at), Steps: []batch.Step{
+		{Count: 10, Gang: true, Need: batch.Resources{Accelerators: 1}, Estimate: time.Second}}}
+	if err := f.c.AddJob(gang, nil, 0, at, gang.AcceptedAt); err != nil {
+		t.Fatal(err)
+	}
+	f.submit("00000000000000a2", 2, at, batch.Step{Count: 1, Need: batch.Resources{Accelerators: 1}, Estimate: time.Second})
+	f.planAndCommit(at)
+	later := at + 2*time.Second
+	f.confirm(later, "a")
+	f.reportEverywhere(later)
+	f.planAndCommit(later)
+	if n := f.c.unmetGuarantees(); n["t"] != 3 || n["u"] != 1 || f.c.missingGuarantees != 4 {
+		t.Errorf("unmet %v, want 4 of 12 accelerators, by the shares of the teams", n)
+	}
+	e, _ := f.c.Explain(gang.ID, later)
+	if reason := e.Tasks[0].Reason; !strings.Contains(reason, "3 accelerators of the team's") ||
+		!strings.Contains(reason, "the evacuated data centres a;") {
+		t.Errorf("explained as %q", reason)
+	}
+	if e, _ := f.c.Explain("00000000000000a2", later); e.State != batch.Running {
+		t.Errorf("other work is %s beside a gang that does not fit, want running", e.State)
+	}
+	f.confirm(later)
+	f.planAndCommit(later + planInterval)
+	if n := f.c.unmetGuarantees(); len(n) != 0 {
+		t.Errorf("unmet %v after the data centre was taken back", n)
+	}
+}
+
+// TestWithheldStartsAreCounted guards against a stop of all starts that no metric and no explanation shows.
+func TestWithheldStartsAreCounted(t *testing.T) {
+	t.Parallel()
+	f := evacuationFixture(t)
+	f.submit("00000000000000a1", 2, 0, oneAccelerator)
+	at := testEvacuationBound
+	f.reportEverywhere(at)
+	f.planAndCommit(at)
+	if n := f.c.withheldStarts(); n != oneAccelerator.Count || f.c.stats.PermissionsExpired != 1 {
+		t.Errorf("%d starts withheld, permission expired %d times, want %d and once", n, f.c.stats.PermissionsExpired,
+			oneAccelerator.Count)
+	}
+	if e, _ := f.c.Explain("00000000000000a1", at); !strings.Contains(e.Tasks[0].Reason, "has not confirmed") {
+		t.Errorf("explained as %q", e.Tasks[0].Reason)
+	}
+}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -75,17 +75,21 @@
 		return "room is being freed on " + strings.Join(cl.nodes, ", ")
 	}
 	need := s.spec.Reserved()
-	usable, eligible, totalFit, evacuated := 0, 0, 0, 0
+	usable, eligible, totalFit := 0, 0, 0
+	var evacuated []string // data centres with workers that the step could use otherwise
 	for _, w := range c.sortedWorkers {
 		if !w.usable(now) {
 			continue
 		}
+		suitable := w.info.Service == c.queue(s.job()).Service && w.info.HasLabel(s.spec.RequiredLabel)
 		if c.evacuated(w) {
-			evacuated++
+			if suitable {
+				evacuated = addCell(evacuated, w.info.Cell)
+			}
 			continue
 		}
 		usable++
-		if w.info.Service != c.queue(s.job()).Service || !w.info.HasLabel(s.spec.RequiredLabel) {
+		if !suitable {
 			continue
 		}
 		eligible++
@@ -98,8 +102,15 @@
 	reason := fmt.Sprintf(
 		"needs room for %d x %d accelerators, %d mCPU, %d MB; %d fit on %d eligible of %d usable workers",
 		n, need.Accelerators, need.MilliCPU, need.MemoryMB, totalFit, eligible, usable)
-	if evacuated > 0 {
-		reason += fmt.Sprintf("; %d workers are in evacuated data centres", evacuated)
+	if len(evacuated) > 0 {
+		reason += "; could otherwise use the evacuated data centres " + strings.Join(evacuated, ", ")
+	}
+	if n := c.unmetGuarantees()[s.job().Team]; n > 0 && c.queue(s.job()).Priority == 0 {
+		reason += fmt.Sprintf("; %d accelerators of the team's guarantee have no room outside evacuated data centres", n)
+	}
+	if c.startsHeld {
+		reason += fmt.Sprintf("; nothing starts, since the store has not confirmed the requests to evacuate for %d ms",
+			(now - c.evacuations.ConfirmedAt).Milliseconds())
 	}
 	if c.missingGuarantees > 0 {
 		reason += fmt.Sprintf("; the guarantees of all teams exceed the other data centres by %d accelerators",
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -50,6 +50,7 @@
 		{"runs_started", now.Started, m.lastStats.Started}, {"runs_refused", now.Refused, m.lastStats.Refused},
 		{"runs_preempted", now.Preempted, m.lastStats.Preempted}, {"runs_lost", now.Lost, m.lastStats.Lost},
 		{"runs_failed", now.Failed, m.lastStats.Failed}, {"tasks_done", now.Done, m.lastStats.Done},
+		{"start_permissions_expired", now.PermissionsExpired, m.lastStats.PermissionsExpired},
 		{"workers_crashed", now.Crashed, m.lastStats.Crashed}, {"tasks_given_up", now.GivenUp, m.lastStats.GivenUp},
 		{"late_runs_restarted", now.RestartedLate, m.lastStats.RestartedLate},
 		{"runs_relocated", now.Relocated, m.lastStats.Relocated},
@@ -70,6 +71,9 @@
 	for _, class := range [...]speed.Class{speed.Fast, speed.Typical, speed.Slow, speed.Unknown} {
 		m.scope.Tagged(map[string]string{"speed": string(class)}).Gauge("workers_by_speed").Update(float64(classes[class]))
 	}
+	m.scope.Gauge("cells_evacuated").Update(float64(len(c.evacuations.Requests.Requests())))
+	m.scope.Gauge("evacuated_runs").Update(float64(c.evacuationStatus.runs))
+	m.scope.Gauge("starts_withheld").Update(float64(c.withheldStarts()))
 }
 
 // updateLostWork adds the whole core-seconds that were lost since the last call to the counters.
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -207,6 +207,10 @@
 	Catalog *batch.Catalog
 	// LostCoreSeconds is the work that was thrown away in this term, by LossCause.
 	LostCoreSeconds map[string]float64
+	Evacuations     evacuation.Set
+	// UnmetGuarantees is the number of guaranteed accelerators by team that have no room outside the evacuated data
+	// centres.
+	UnmetGuarantees map[string]int
 }
 
 // View returns the state of the scheduler, or nil unless this process is the leader.
@@ -217,7 +221,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := &View{Catalog: t.core.catalog, LostCoreSeconds: map[string]float64{}}
+	v := &View{Catalog: t.core.catalog, LostCoreSeconds: map[string]float64{},
+		Evacuations:     t.core.evacuations.Requests,
+		UnmetGuarantees: t.core.unmetGuarantees()}
 	v.Jobs, v.Workers = t.core.View(boottime.Now(), time.Now())
 	for cause, lost := range t.core.LostWork() {
 		v.LostCoreSeconds[string(cause)] = lost
