config, cell, agent: evacuate cells in the stand-alone product

Cause: operators of the stand-alone product could not take a cell out of use without removing its workers.

Change: the commands "evacuate cell CELL" and "restore cell CELL" keep the requests in the configuration document as an evacuation.Set; the revision of a request is the version that contained it first. The owner of the cell places nothing there and abandons an attempt whose claim is recorded when it learns of the request; the agent refuses holds and short requests, and launches nothing that was started before. Running work goes on. New jobs go to another cell if one can run them. Guarantees in an evacuated cell count as unmet.

--- a/cmd/masticcart/operator.go
+++ b/cmd/masticcart/operator.go
@@ -102,6 +102,8 @@
 			"           [cross-region-price DURATION|never]             replaces the whole rule\n" +
 			"  remove rule KIND\n" +
 			"  set weights completion-time F fragmentation F            each from 0 to 1\n" +
+			"  evacuate cell CELL                                        nothing starts there; running work goes on\n" +
+			"  restore cell CELL\n" +
 			"  set operators token-hash H ...                            replaces all; disables the bootstrap token\n" +
 			"A guarantee that does not fit into the cell's workers is refused with the reason.\n\n" +
 			"Examples:\n  masticcart change --base 12 'create team prism token-hash 9f86d0...0a08 max-accelerators 256'\n" +
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// applyEvacuation refuses new work while the configuration in force evacuates the agent's cell.
+func (a *Agent) applyEvacuation() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.SetEvacuated(a.config.Current().Evacuations.Contains(a.identity.Cell))
+}
+
 // sendStopRequest sends a stop request to the goroutine that runs the task. It does not block: the ledger stops a task
 // only once, and the channel has a buffer of one. The caller holds the lock.
 func (a *Agent) sendStopRequest(r StopRequest) {
--- a/internal/agent/ledger.go
+++ b/internal/agent/ledger.go
@@ -82,6 +82,7 @@
 	requestSlots int       // slots in use by short requests
 	leaseUntil   time.Time // end of the agent's lease
 	refuseFrom   time.Time // when new work is refused; zero while the agent is not leaving
+	evacuated    bool      // nothing may start, by request of the operators
 }
 
 // NewLedger returns the ledger of an upstream on which nothing runs.
@@ -118,6 +119,10 @@
 	}
 }
 
+// SetEvacuated sets whether the operators evacuate the cell: new work is refused, and what is started and not launched
+// yet is not launched.
+func (l *Ledger) SetEvacuated(evacuated bool) { l.evacuated = evacuated }
+
 // Leaving reports whether StartLeaving was called.
 func (l *Ledger) Leaving() bool { return !l.refuseFrom.IsZero() }
 
@@ -167,6 +172,8 @@
 		return protocol.HoldReply{OK: true, Free: l.Free()}
 	case existing != nil && (existing.status.Attempt >= a.Attempt || !existing.status.Phase.Terminal()):
 		return refuse("attempt %d is %s here", existing.status.Attempt, existing.status.Phase)
+	case l.evacuated:
+		return refuse("the cell is evacuated")
 	case l.refusesNewWork(now):
 		return refuse("the upstream is leaving")
 	case now.After(l.leaseUntil):
@@ -231,10 +238,12 @@
 }
 
 // MayLaunch reports whether a started task may still be launched on the upstream. It may not if the agent was paused
-// for longer than its lease between Start and the call to the upstream, or if the task was stopped meanwhile.
+// for longer than its lease between Start and the call to the upstream, if the task was stopped meanwhile, or if the cell
+// is evacuated.
 func (l *Ledger) MayLaunch(now time.Time, ref protocol.TaskRef) bool {
 	t := l.tasks[ref.Job]
-	return t != nil && t.status.Ref() == ref && t.status.Phase == protocol.TaskRunning && !now.After(l.leaseUntil)
+	return t != nil && t.status.Ref() == ref && t.status.Phase == protocol.TaskRunning && !now.After(l.leaseUntil) &&
+		!l.evacuated
 }
 
 // Stop fences an attempt and all earlier ones. It returns a reply if the attempt does not run here. Otherwise the
@@ -379,7 +388,7 @@
 // AcquireSlot reserves a slot for a short request and reports whether it did. The request must not start if it returns
 // false.
 func (l *Ledger) AcquireSlot(now time.Time) bool {
-	if l.refusesNewWork(now) || l.Free() < 1 {
+	if l.refusesNewWork(now) || l.evacuated || l.Free() < 1 {
 		return false
 	}
 	l.requestSlots++
--- a/internal/agent/sessions.go
+++ b/internal/agent/sessions.go
@@ -248,6 +248,7 @@
 func (a *Agent) applyAcknowledgement(sentAt time.Time, reply protocol.HeartbeatReply) {
 	if reply.Config != nil {
 		if a.config.Apply(reply.Config) {
+			a.applyEvacuation()
 			klog.InfoS("Applied configuration", "version", reply.Config.Version, "from", reply.Entry)
 			// The other entries must know of the version before one of them becomes owner and shows it.
 			a.wakeSessions()
--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -175,6 +175,11 @@
 	switch {
 	case err == nil && j.phase == phaseCommitting:
 		j.record = r
+		if request, evacuated := c.evacuation(); evacuated {
+			c.stopAttempt(now, j, disposition{requeue: true,
+				reason: fmt.Sprintf("the cell is evacuated since version %d", request.Revision)})
+			return
+		}
 		c.startMembers(now, j)
 	case err == nil && r.Revision > j.record.Revision:
 		j.record = r
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -1,11 +1,13 @@
 package cell
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/jobs"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/placement"
@@ -30,7 +32,12 @@
 			c.beginHold(now, j, pl)
 		}
 	}
+	request, evacuated := c.evacuation()
 	for _, b := range p.Blocked {
+		if evacuated {
+			b.Reason = fmt.Sprintf("evacuation: cell %s is evacuated since version %d", c.cell, request.Revision)
+			b.WouldChange = "the operators restore the cell"
+		}
 		if j := c.jobs[b.Job]; j != nil && j.phase == phaseWaiting {
 			if j.reason != b.Reason {
 				klog.V(1).InfoS("Job waiting", "cell", c.cell, "job", j.key, "reason", b.Reason)
@@ -40,6 +47,11 @@
 	}
 }
 
+// evacuation returns the request to evacuate the cell. It returns false if there is none.
+func (c *Coordinator) evacuation() (evacuation.Request, bool) {
+	return c.config().Evacuations.Find(c.cell)
+}
+
 func (c *Coordinator) anyPlannable(now time.Time) bool {
 	for _, j := range c.jobs {
 		if j.phase == phaseWaiting && !now.Before(j.notBefore) {
@@ -132,10 +144,11 @@
 // addUpstream adds an upstream to the snapshot. Its free units are the smaller of what the agent reports and what is
 // not assigned here: the report lags behind holds in flight, and the assignments do not include short requests.
 func (c *Coordinator) addUpstream(now time.Time, s *placement.Snapshot, id string, u *upstream, assigned int) {
+	_, evacuated := c.evacuation()
 	x := placement.Upstream{
 		ID: id, Incarnation: u.identity.Incarnation, Rack: u.identity.Rack, Service: u.identity.Service,
 		Units: u.identity.Units, Free: max(0, min(u.free, u.identity.Units-assigned)),
-		Unschedulable: u.leaving || u.isSilent(now) || u.health.isQuarantined(now),
+		Unschedulable: u.leaving || u.isSilent(now) || u.health.isQuarantined(now) || evacuated,
 	}
 	if u.identity.Kind == protocol.KindWorker {
 		s.Workers = append(s.Workers, x)
--- a/internal/config/describe.go
+++ b/internal/config/describe.go
@@ -5,7 +5,9 @@
 	"reflect"
 	"slices"
 	"strings"
+	"time"
 
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/model"
 )
 
@@ -19,6 +21,9 @@
 	parts = append(parts, diffList("team", before.Teams, after.Teams, teamName, describeTeam)...)
 	parts = append(parts, diffList("guarantee", before.Guarantees, after.Guarantees, guaranteeKey, describeGuarantee)...)
 	parts = append(parts, diffList("rule", before.Rules, after.Rules, ruleName, describeRule)...)
+	parts = append(parts, diffList("evacuation", before.Evacuations.Requests(), after.Evacuations.Requests(),
+		func(r evacuation.Request) string { return "of cell " + r.Cell },
+		func(r evacuation.Request) string { return "since " + r.Since.UTC().Format(time.RFC3339) })...)
 	if before.Weights != after.Weights {
 		parts = append(parts, fmt.Sprintf("weights: completion-time %g, fragmentation %g",
 			after.Weights.CompletionTime, after.Weights.Fragmentation))
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -23,7 +23,7 @@
 		return fmt.Errorf("version %d is negative", c.Version)
 	}
 	for _, validate := range []func(*model.Config) error{
-		validateTeams, validateTokens, validateGuarantees, validateQuotas, validateRules,
+		validateTeams, validateTokens, validateGuarantees, validateQuotas, validateRules, validateEvacuations,
 	} {
 		if err := validate(c); err != nil {
 			return err
@@ -152,6 +152,15 @@
 	return nil
 }
 
+func validateEvacuations(c *model.Config) error {
+	for _, r := range c.Evacuations.Requests() {
+		if !model.ValidName(r.Cell) {
+			return fmt.Errorf("evacuation: cell %q: want 1 to 128 letters, digits, '.', '_' or '-'", r.Cell)
+		}
+	}
+	return nil
+}
+
 // validateWeight checks that a weight is between 0 and 1. The comparison also refuses NaN.
 func validateWeight(name string, w float64) error {
 	if w >= 0 && w <= 1 {
--- a/internal/entry/agents.go
+++ b/internal/entry/agents.go
@@ -101,9 +101,14 @@
 	return a.completeReply(reply, h.ConfigVersion), nil
 }
 
-// updateUpstream passes an executor's state to the router. Workers get no short requests.
+// updateUpstream passes an executor's state to the router. Workers, and executors of evacuated cells, get no short
+// requests.
 func (a *Agents) updateUpstream(id protocol.Identity, free int, delay time.Duration, leaving bool) {
-	if id.Kind == protocol.KindExecutor {
+	switch {
+	case id.Kind != protocol.KindExecutor:
+	case a.config.Current().Evacuations.Contains(id.Cell):
+		a.upstreams.RemoveUpstream(id.Agent)
+	default:
 		a.upstreams.UpdateUpstream(id, free, delay, leaving)
 	}
 }
--- a/internal/entry/api_jobs.go
+++ b/internal/entry/api_jobs.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/client/api"
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/protocol"
 )
@@ -120,14 +121,31 @@
 }
 
 // chooseCell returns the cell in which a new job is queued. A cell in which a guarantee of the team covers the job
-// comes first, then the nearest cell that can run it: this entry's own, one in the same region, any other. A job that
-// no known cell can run is queued in this entry's cell, which refuses it with the reason.
+// comes first, then the nearest cell that can run it: this entry's own, one in the same region, any other. Evacuated
+// cells are chosen only if no other cell can run the job, which then waits there. A job that no known cell can run is
+// queued in this entry's cell, which refuses it with the reason.
 func (s *Server) chooseCell(spec model.JobSpec) string {
 	now := time.Now()
-	canRun := func(e protocol.EntryState) bool { return servesService(e, spec.Service) }
+	evacuations := s.config.Current().Evacuations
+	if cellName := s.cellFor(spec, now, evacuations); cellName != "" {
+		return cellName
+	}
+	if cellName := s.cellFor(spec, now, evacuation.Set{}); cellName != "" {
+		return cellName
+	}
+	return s.table.Self(now).Cell
+}
+
+// cellFor returns the cell for a job among those without an evacuation, or an empty string if none can run it.
+func (s *Server) cellFor(spec model.JobSpec, now time.Time, evacuations evacuation.Set) string {
+	canRun := func(e protocol.EntryState) bool {
+		return servesService(e, spec.Service) && !evacuations.Contains(e.Cell)
+	}
 	if spec.Shape.UsesAccelerators() {
-		canRun = func(e protocol.EntryState) bool { return e.Blocks.CanFit(spec.Shape) }
-		if cellName, ok := s.guaranteedCell(spec, now); ok {
+		canRun = func(e protocol.EntryState) bool {
+			return e.Blocks.CanFit(spec.Shape) && !evacuations.Contains(e.Cell)
+		}
+		if cellName, ok := s.guaranteedCell(spec, now, evacuations); ok {
 			return cellName
 		}
 	}
@@ -145,18 +163,16 @@
 			remote = peer.State.Cell
 		}
 	}
-	if remote != "" {
-		return remote
-	}
-	return own.Cell
+	return remote
 }
 
-// guaranteedCell returns a cell with live entries in which a guarantee of the team covers the job.
-func (s *Server) guaranteedCell(spec model.JobSpec, now time.Time) (string, bool) {
+// guaranteedCell returns a cell with live entries and without an evacuation in which a guarantee of the team covers the
+// job.
+func (s *Server) guaranteedCell(spec model.JobSpec, now time.Time, evacuations evacuation.Set) (string, bool) {
 	for _, g := range s.config.Current().Guarantees {
 		covers := g.Team == spec.Key.Team && g.Shape.Accelerators >= spec.Shape.Accelerators &&
 			g.Shape.Adjacency.Level() <= spec.Shape.Adjacency.Level()
-		if covers && len(s.table.RendezvousOrder(g.Cell, now)) > 0 {
+		if covers && !evacuations.Contains(g.Cell) && len(s.table.RendezvousOrder(g.Cell, now)) > 0 {
 			return g.Cell, true
 		}
 	}
--- a/internal/entry/api_ops.go
+++ b/internal/entry/api_ops.go
@@ -134,7 +134,7 @@
 	if body.DryRun {
 		apply = s.repository.Preview
 	}
-	next, err := apply(r.Context(), body.Base, change.ConfigEdit(s.guaranteeCheck(r.Context())))
+	next, err := apply(r.Context(), body.Base, change.ConfigEdit(s.guaranteeCheck(r.Context()), time.Now()))
 	var stale *config.StaleError
 	if errors.As(err, &stale) {
 		return reply{}, staleError(stale)
@@ -209,7 +209,7 @@
 // of the configuration; earlier guarantees get workers first. Cells whose owner did not report are left out.
 func unmetGuarantees(v *query.View) []query.UnmetGuarantee {
 	inventory := workersByCell(v.Entries, func(w protocol.UpstreamView) bool {
-		return w.Alive && !w.Leaving && !w.Quarantined
+		return w.Alive && !w.Leaving && !w.Quarantined && !v.Config.Evacuations.Contains(w.Identity.Cell)
 	})
 	var out []query.UnmetGuarantee
 	fitting := make(map[string][]model.Guarantee)
--- a/internal/entry/examples_test.go
+++ b/internal/entry/examples_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/placement"
@@ -35,7 +36,7 @@
 		for _, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
 			change, err := query.ParseChange(line)
 			if err == nil {
-				err = change.ConfigEdit(check)(c)
+				err = change.ConfigEdit(check, time.Time{})(c)
 			}
 			if err != nil {
 				t.Errorf("%s: %s: %v", deployment, line, err)
--- a/internal/faulttest/regression_test.go
+++ b/internal/faulttest/regression_test.go
@@ -6,6 +6,7 @@
 
 	"masticcart.example/masticcart/internal/agent"
 	"masticcart.example/masticcart/internal/cell"
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/jobs"
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/model"
@@ -35,15 +36,14 @@
 // coordinatorHarness drives one coordinator that owns its cell and has one worker, w.
 type coordinatorHarness struct {
 	*cell.Coordinator
-	now time.Time
+	now    time.Time
+	config *model.Config // in force
 }
 
 func newCoordinatorHarness() *coordinatorHarness {
-	h := &coordinatorHarness{
-		Coordinator: cell.NewCoordinator("c", fixedPlanner{},
-			func() *model.Config { return &model.Config{} }, func(model.Job) {}),
-		now: epoch,
-	}
+	h := &coordinatorHarness{now: epoch, config: &model.Config{}}
+	h.Coordinator = cell.NewCoordinator("c", fixedPlanner{},
+		func() *model.Config { return h.config }, func(model.Job) {})
 	h.SetOwner(h.now, true)
 	return h
 }
@@ -104,6 +104,56 @@
 	}
 }
 
+// TestClaimedAttemptDoesNotStartInEvacuatedCell guards against a start that was decided before the owner of the cell, or
+// only the agent, learned of a request to evacuate the cell.
+func TestClaimedAttemptDoesNotStartInEvacuatedCell(t *testing.T) {
+	evacuated := &model.Config{Version: 1, Evacuations: evacuation.Set{}.With(evacuation.Request{Cell: "c", Revision: 1})}
+	h := newCoordinatorHarness()
+	h.announce()
+	h.IndexListed(h.now, []jobs.OpenJob{{Key: wholeWorkerSpec.Key, Revision: 1}})
+	h.RecordLoaded(h.now, jobs.Record{Revision: 2,
+		Job: model.Job{Spec: wholeWorkerSpec, Cell: "c", State: model.JobAccepted}})
+	_, actions := h.advance(2 * time.Second)
+	holds := actionsOf[cell.HoldAction](actions)
+	if len(holds) == 0 {
+		t.Fatal("the job was not placed")
+	}
+	h.HoldAnswered(h.now, holds[0], protocol.HoldReply{OK: true}, nil)
+	claims := actionsOf[cell.WriteRecordAction](h.DrainActions())
+	if len(claims) != 1 {
+		t.Fatalf("records %+v, want the claim", claims)
+	}
+	h.config = evacuated
+	claims[0].Record.Revision = 3
+	h.RecordWritten(h.now, claims[0], claims[0].Record, nil)
+	actions = h.DrainActions()
+	if s := actionsOf[cell.StartAction](actions); len(s) > 0 || len(actionsOf[cell.StopAction](actions)) != 1 {
+		t.Errorf("starts %+v, want a stop", s)
+	}
+
+	l := agent.NewLedger(identityOfW)
+	l.ExtendLease(h.now)
+	l.Hold(h.now, holds[0].Args)
+	ref := protocol.TaskRef{Job: wholeWorkerSpec.Key, Attempt: holds[0].Args.Attempt, Claim: holds[0].Args.Claim}
+	if r, launch := l.Start(h.now, protocol.StartArgs{Incarnation: "1", Task: ref}); !r.OK || launch == nil {
+		t.Fatalf("start: %+v", r)
+	}
+	l.SetEvacuated(true)
+	if l.MayLaunch(h.now, ref) {
+		t.Error("the agent launches a task in an evacuated cell")
+	}
+	other := holds[0].Args
+	other.Spec.Key.ID = "other"
+	l.RecordRejection(ref, "the cell is evacuated")
+	if r := l.Hold(h.now, other); r.OK || r.Reason != "the cell is evacuated" {
+		t.Errorf("hold in an evacuated cell: %+v", r)
+	}
+	l.SetEvacuated(false)
+	if r := l.Hold(h.now, other); !r.OK {
+		t.Errorf("hold after the cell was restored: %+v", r)
+	}
+}
+
 // TestUnknownResultIsKept guards against this failure: an owner with a stale view let the agent remove a result that
 // was not recorded yet, and the work could start a second time.
 func TestUnknownResultIsKept(t *testing.T) {
--- a/internal/query/change.go
+++ b/internal/query/change.go
@@ -13,6 +13,8 @@
 	"github.com/alecthomas/participle/v2"
 
 	"masticcart.example/masticcart/internal/config"
+	"masticcart.example/masticcart/internal/evacuation"
+	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/model"
 )
 
@@ -64,8 +66,9 @@
 
 // ConfigEdit returns an edit for config.Repository.Change that applies the change. The check may be nil. It is called
 // with a valid configuration, and only if the change adds or raises a guarantee: when guarantees are already unmet
-// because a worker was lost, operators can still make changes that do not add to the shortage.
-func (c *Change) ConfigEdit(check GuaranteeCheck) func(*model.Config) error {
+// because a worker was lost, operators can still make changes that do not add to the shortage. now is recorded as the time
+// of new requests to evacuate a cell.
+func (c *Change) ConfigEdit(check GuaranteeCheck, now time.Time) func(*model.Config) error {
 	return func(conf *model.Config) error {
 		before := slices.Clone(conf.Guarantees)
 		for _, op := range c.operations {
@@ -73,6 +76,12 @@
 				return &CommandError{Line: op.command.Pos.Line, Column: op.command.Pos.Column, Err: err}
 			}
 		}
+		for _, r := range conf.Evacuations.Requests() {
+			if r.Since.IsZero() {
+				r.Since = now
+				conf.Evacuations = conf.Evacuations.With(r)
+			}
+		}
 		if err := config.Validate(conf); err != nil {
 			return err
 		}
@@ -110,7 +119,7 @@
 		parsedText = strings.TrimSpace(text[:parserErr.Position().Offset])
 	}
 	if s == nil || len(s.Commands) == 0 || parsedText == "" || strings.HasSuffix(parsedText, ";") {
-		return `"create" | "set" | "remove"`
+		return `"create" | "set" | "remove" | "evacuate" | "restore"`
 	}
 	last := s.Commands[len(s.Commands)-1]
 	switch {
@@ -137,6 +146,10 @@
 		return c.Set.Weights.setOperation()
 	case c.Set != nil:
 		return setOperatorsOperation(c.Set.Operators)
+	case c.Evacuate != nil:
+		return evacuateOperation(*c.Evacuate)
+	case c.Restore != nil:
+		return restoreOperation(*c.Restore)
 	case c.Remove.Team != nil:
 		return removeTeamOperation(*c.Remove.Team)
 	case c.Remove.Guarantee != nil:
@@ -372,6 +385,29 @@
 	}}, err
 }
 
+// evacuateOperation requests that nothing starts in a cell any more. ConfigEdit sets the time of the request.
+func evacuateOperation(cell word) (operation, error) {
+	return operation{summary: "evacuate cell " + cell.Text, apply: func(c *model.Config) error {
+		if c.Evacuations.Contains(cell.Text) {
+			return fmt.Errorf("cell %s is evacuated already", cell.Text)
+		}
+		c.Evacuations = c.Evacuations.With(
+			evacuation.Request{Cell: cell.Text, Revision: kvstore.Revision(c.Version + 1)})
+		return nil
+	}}, cell.validateName("the name of a cell")
+}
+
+// restoreOperation withdraws the request to evacuate a cell.
+func restoreOperation(cell word) (operation, error) {
+	return operation{summary: "restore cell " + cell.Text, apply: func(c *model.Config) error {
+		if !c.Evacuations.Contains(cell.Text) {
+			return fmt.Errorf("cell %s is not evacuated", cell.Text)
+		}
+		c.Evacuations = c.Evacuations.Without(cell.Text)
+		return nil
+	}}, nil
+}
+
 func (w word) validateName(expected string) error {
 	if model.ValidName(w.Text) {
 		return nil
--- a/internal/query/grammar.go
+++ b/internal/query/grammar.go
@@ -66,7 +66,10 @@
 	Pos    lexer.Position
 	Create *teamCommand   `parser:"( \"create\" \"team\" @@"`
 	Set    *setCommand    `parser:"| \"set\" @@"`
-	Remove *removeCommand `parser:"| \"remove\" @@ )"`
+	Remove *removeCommand `parser:"| \"remove\" @@"`
+	// Evacuate and Restore are names of cells.
+	Evacuate *word `parser:"| \"evacuate\" \"cell\" @@"`
+	Restore  *word `parser:"| \"restore\" \"cell\" @@ )"`
 }
 
 type setCommand struct {
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"masticcart.example/masticcart/internal/config"
+	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/protocol"
 )
@@ -237,13 +238,17 @@
 		{"set rule fit class normal priority 2", nil, ""},
 		{"set weights completion-time 0.25 fragmentation 1", nil, ""},
 		{"set team a max-accelerators 32", rejectAll, ""},
+		{"evacuate cell riga-1; evacuate cell riga-2", rejectAll, ""},
+		{"evacuate cell riga-1", nil, "cell riga-1 is evacuated already"},
+		{"restore cell riga-2", nil, ""},
+		{"restore cell riga-2", nil, "cell riga-2 is not evacuated"},
 	} {
 		change, err := ParseChange(s.text)
 		if err != nil {
 			t.Fatalf("%s: %v", s.text, err)
 		}
 		next := config.Clone(c)
-		switch err := change.ConfigEdit(s.check)(next); {
+		switch err := change.ConfigEdit(s.check, testTime)(next); {
 		case s.want == "" && err != nil, s.want != "" && (err == nil || !strings.Contains(err.Error(), s.want)):
 			t.Errorf("%s: got %v, want %q", s.text, err, s.want)
 		case err == nil:
@@ -255,8 +260,9 @@
 		Guarantees: []model.Guarantee{{
 			Team: "a", Cell: "riga-1", Shape: model.Shape{Accelerators: 8, Adjacency: model.AdjacentRack}, Count: 2,
 		}},
-		Rules:   []model.Rule{{Kind: "fit", Class: model.ClassNormal, Priority: 2, CrossRegionPrice: -1}},
-		Weights: model.Weights{CompletionTime: 0.25, Fragmentation: 1},
+		Rules:       []model.Rule{{Kind: "fit", Class: model.ClassNormal, Priority: 2, CrossRegionPrice: -1}},
+		Weights:     model.Weights{CompletionTime: 0.25, Fragmentation: 1},
+		Evacuations: evacuation.Set{}.With(evacuation.Request{Cell: "riga-1", Revision: 1, Since: testTime}),
 	}
 	if !reflect.DeepEqual(c, want) {
 		t.Errorf("got %+v, want %+v", c, want)
@@ -287,7 +293,7 @@
 		}
 		if c, err := ParseChange(text); err == nil {
 			_ = c.Summary()
-			_ = c.ConfigEdit(nil)(&model.Config{})
+			_ = c.ConfigEdit(nil, testTime)(&model.Config{})
 		} else if !errors.As(err, &p) || p.Line < 1 || p.Column < 1 {
 			t.Errorf("%q: %v", text, err)
 		}
--- a/internal/query/tables.go
+++ b/internal/query/tables.go
@@ -155,14 +155,13 @@
 	return max(0, end.Sub(r.job.Submitted)).Truncate(time.Second)
 }
 
-// upstreamState returns the state of an upstream. Only workers are evacuated.
 func (s *queryScope) upstreamState(u *protocol.UpstreamView) string {
 	switch {
 	case !u.Alive:
 		return upstreamLost
 	case u.Leaving:
 		return upstreamLeaving
-	case u.Identity.Kind == protocol.KindWorker && s.config.Evacuations.Contains(u.Identity.Cell):
+	case s.config.Evacuations.Contains(u.Identity.Cell):
 		return upstreamEvacuated
 	case u.Quarantined:
 		return upstreamQuarantined
