soak: evacuate data centres beside the other faults

Change: the workers of the soak are in one data centre for each rack, and each data centre is evacuated for 2 to 9 s and taken back until the faults end, by draws of its own so that the other faults of a seed stay the same. The checker knows the requests (rule EVAC, bound 5 s).

--- a/cmd/masticcart-soak/main.go
+++ b/cmd/masticcart-soak/main.go
@@ -47,11 +47,11 @@
 func simulatorCommands() []*cli.Command {
 	requiredString := func(name string) cli.Flag { return &cli.StringFlag{Name: name, Required: true} }
 	return []*cli.Command{
-		{Name: "worker", Hidden: true, Flags: []cli.Flag{requiredString("id"), requiredString("rack"),
+		{Name: "worker", Hidden: true, Flags: []cli.Flag{requiredString("id"), requiredString("rack"), requiredString("zone"),
 			requiredString("listen"), requiredString("control"), &cli.IntFlag{Name: "ballast"},
 			&cli.BoolFlag{Name: "ignore-capacity"}},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				return soak.RunWorker(ctx, c.String("id"), c.String("rack"), c.String("listen"), c.String("control"),
+				return soak.RunWorker(ctx, c.String("id"), c.String("rack"), c.String("zone"), c.String("listen"), c.String("control"),
 					c.Int("ballast"), c.Bool("ignore-capacity"))
 			}},
 		{Name: "store", Hidden: true, Flags: []cli.Flag{requiredString("listen")},
--- a/internal/hosted/deployment_test.go
+++ b/internal/hosted/deployment_test.go
@@ -237,7 +237,7 @@
 	d := newDeployment(t, 2)
 	d.submitUntilAccepted(0, 1, standin.FourTaskJob(60_000))
 	d.eventually(5*time.Second, "running", func() bool { return d.state(0, 1) == "running" })
-	revision, err := d.store.Put(context.Background(), "op/evacuate/z", []byte(`{}`), 0, 0)
+	revision, err := d.store.Put(context.Background(), platform.EvacuationKey("z"), []byte(`{}`), 0, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -256,7 +256,7 @@
 		t.Fatalf("cancellation: status %d", status)
 	}
 	d.eventually(5*time.Second, "empty", shows("show evacuations where empty = yes", `"z"`))
-	if err := d.store.Delete(context.Background(), "op/evacuate/z", revision); err != nil {
+	if err := d.store.Delete(context.Background(), platform.EvacuationKey("z"), revision); err != nil {
 		t.Fatal(err)
 	}
 	d.eventually(10*time.Second, "completed after the data centre is taken back", func() bool { return d.state(0, 2) == "completed" })
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -89,7 +89,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{options: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), ctx: ctx, recorder: newRecorder(rulecheck.Limits{
 		MaxAttempts: maxAttempts, MaxStartAfterCancel: maxStartAfterCancel, MaxKeyUseAfterRemoval: revocationTimeout,
-		MaxStartAfterShrink: maxStartAfterShrink, MaxRunAfterCancel: maxRunAfterCancel})}
+		MaxStartAfterShrink: maxStartAfterShrink, MaxRunAfterCancel: maxRunAfterCancel,
+		MaxStartAfterEvacuation: evacuationBound})}
 	defer r.background.Wait()
 	defer cancel()
 	if err := r.start(); err != nil {
@@ -97,8 +98,10 @@
 	}
 	r.background.Go(r.deliverEvents)
 	r.startLoad()
+	awaitCells := r.evacuateCells(time.Now().Add(r.options.FaultDuration))
 	r.injectFaults()
 	r.clearFaults()
+	awaitCells()
 	r.clearedAt = time.Now()
 	r.callers.Wait()
 	r.awaitFinalStates()
@@ -138,7 +141,7 @@
 	}
 	for n := range r.options.Entries {
 		port += portsPerProcess
-		p, err := r.addDaemon(fmt.Sprint("edge-", n), "edge", port)
+		p, err := r.addDaemon(fmt.Sprint("edge-", n), "edge", cellOf(0), port)
 		if err != nil {
 			return err
 		}
@@ -153,12 +156,12 @@
 // addWorker adds a worker and its agent.
 func (r *run) addWorker(n, port int) error {
 	name := fmt.Sprint("side-", n)
-	agent, err := r.addDaemon(name, "side", port)
+	agent, err := r.addDaemon(name, "side", cellOf(n), port)
 	if err != nil {
 		return err
 	}
 	id := fmt.Sprint("i-", n)
-	w, err := r.newStandin("worker-"+fmt.Sprint(n), "worker", "--id", id, "--rack", fmt.Sprint("r", n/workersPerRack),
+	w, err := r.newStandin("worker-"+fmt.Sprint(n), "worker", "--id", id, "--rack", fmt.Sprint("r", n/workersPerRack), "--zone", cellOf(n),
 		"--listen", agent.settings.WorkerAddress(), "--control", agent.settings.ControlAddress(),
 		"--ballast", fmt.Sprint(r.options.BallastMB), fmt.Sprint("--ignore-capacity=", n%2 == 0))
 	if err != nil {
@@ -166,6 +169,7 @@
 	}
 	w.readOutput = func(events io.Reader) { r.recorder.readEvents(id, events) }
 	w.onExit = r.recorder.terminationReporter(id)
+	r.recorder.add(r.recorder.started, func(c *rulecheck.Checker) { c.WorkerPlaced(id, cellOf(n)) })
 	w.id, w.agent = id, agent
 	r.workers = append(r.workers, w)
 	return nil
@@ -179,9 +183,9 @@
 
 // addDaemon adds a program under test: an entry if class is "edge", an agent if it is "side". It reaches the store, and
 // an agent its worker, through proxies.
-func (r *run) addDaemon(node, class string, port int) (*process, error) {
+func (r *run) addDaemon(node, class, zone string, port int) (*process, error) {
 	p := &process{name: node, path: r.options.DaemonPath, args: []string{"platform"},
-		settings: standin.ProcessSettings{Node: node, Role: class, Port: port}}
+		settings: standin.ProcessSettings{Node: node, Role: class, Port: port, Zone: zone, EvacuateMS: evacuationBoundMS}}
 	var err error
 	if p.storeProxy, err = r.startProxy(r.storeAddress); err != nil {
 		return nil, err
--- a/internal/soak/standins.go
+++ b/internal/soak/standins.go
@@ -44,13 +44,13 @@
 
 // RunWorker runs one worker until ctx ends or a task crashes it, and writes its events to standard output. It occupies
 // ballastMB MiB of memory, for runs near the memory limit of the machine.
-func RunWorker(ctx context.Context, id, rack, listen, control string, ballastMB int, ignoreCapacity bool) error {
+func RunWorker(ctx context.Context, id, rack, zone, listen, control string, ballastMB int, ignoreCapacity bool) error {
 	ballast := make([]byte, ballastMB<<20)
 	for at := 0; at < len(ballast); at += os.Getpagesize() {
 		ballast[at] = 1 // touch the page, so that it is allocated
 	}
 	defer runtime.KeepAlive(ballast)
-	w := &standin.Worker{ID: id, Service: "s", Rack: rack, GPUs: workerAccelerators, MaxLease: maxLease,
+	w := &standin.Worker{ID: id, Service: "s", Rack: rack, Zone: zone, GPUs: workerAccelerators, MaxLease: maxLease,
 		IgnoresCapacity: ignoreCapacity, Observer: workerEvents{}, Crash: func(task string) {
 			writeEvent(event{Kind: eventTaskCrashed, Task: task})
 			os.Exit(1)
