intake, scheduler: refuse work that would be done too late

Cause: under overload each job of a lower priority waited until its result was of no use, and delayed the jobs behind it; its caller learned nothing until then.

Change: the leader forecasts for each queue of a priority above 0 when a job that is accepted now could start, and sends that with scheduler.pending to entries that ask for it; entries and leaders of the release before are served as before. An entry refuses a job that is expected to end after three times its objective, with a Retry-After that is spread by the job's id, unless the store has the job or an own write of it was not answered.

The type admission of the intake is renamed to admitted, since the package has the name. The test clients of the leader follow the changed interface.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -59,6 +59,11 @@
 	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
 }
 
+// Min returns the smaller value of each field of r and o.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCPU, o.MilliCPU), min(r.MemoryMB, o.MemoryMB), min(r.Accelerators, o.Accelerators)}
+}
+
 // Valid reports whether each field is within the range in which sums over a fleet do not overflow.
 func (r Resources) Valid() bool {
 	for _, n := range [...]int{r.MilliCPU, r.MemoryMB, r.Accelerators} {
@@ -139,6 +144,20 @@
 // Occurrences returns how often the job runs.
 func (j *Job) Occurrences() int { return max(j.RepeatCount, 1) }
 
+// LongestChain returns the estimated duration of the longest chain of steps, at most MaxDuration. The job must be valid.
+func (j *Job) LongestChain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		for _, a := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] = min(ends[i]+j.Steps[i].Estimate, MaxDuration)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // Due returns the earliest start of an occurrence. The zero time means that it may start at once.
 func (j *Job) Due(occurrence int) time.Time {
 	if j.RepeatCount == 0 {
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -122,8 +122,8 @@
 }
 
 func newIntake(s *platform.Settings, store kvstore.Store, watcher *intake.CatalogWatcher,
-	leader *leaderClient) *intake.Service {
-	intakeSettings := intake.Settings{
+	leader *leaderClient, m *telemetry.Metrics) *intake.Service {
+	intakeSettings := intake.Settings{Scope: m.Scope,
 		MaxPendingAge: time.Duration(float64(platform.Milliseconds(s.Bounds.VisibleMS)) * pendingAgeFraction)}
 	if s.Bounds.RevokeStrict {
 		intakeSettings.MaxCatalogAge = time.Duration(float64(platform.Milliseconds(s.Bounds.RevokeMS)) * catalogAgeFraction)
--- a/internal/hosted/leader.go
+++ b/internal/hosted/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -10,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/election"
 	"masticcart.example/masticcart/internal/intake"
 	"masticcart.example/masticcart/internal/kvstore"
@@ -45,6 +47,35 @@
 	Known bool        `json:"known"`
 }
 
+// pendingRequest asks for the numbers of pending jobs. While entries are restarted one after the other, some of them may
+// be of a release that does not know the field.
+type pendingRequest struct {
+	// Load asks for a scheduler.Load instead of its field Pending only.
+	Load bool `json:"load,omitempty"`
+}
+
+// responseOf returns the response that the caller understands.
+func (r pendingRequest) responseOf(load scheduler.Load) any {
+	if !r.Load {
+		return load.Pending
+	}
+	return load
+}
+
+// pendingResponse is a scheduler.Load. A leader of a release before pendingRequest.Load sends the field Pending only.
+type pendingResponse struct{ scheduler.Load }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (r *pendingResponse) UnmarshalJSON(data []byte) error {
+	var load scheduler.Load
+	if err := json.Unmarshal(data, &load); err == nil && load.Pending != nil {
+		r.Load = load
+		return nil
+	}
+	r.Load = scheduler.Load{}
+	return json.Unmarshal(data, &r.Pending)
+}
+
 type releaseRequest struct {
 	Term int64 `json:"term"`
 }
@@ -97,12 +128,12 @@
 		methodRelease: rpc.Method(func(ctx context.Context, _ *rpc.Conn, r releaseRequest) (empty, error) {
 			return empty{}, e.ReleaseTerm(ctx, r.Term)
 		}),
-		methodPending: rpc.Method(func(context.Context, *rpc.Conn, empty) (map[string]int, error) {
-			pending, ok := s.PendingByQueue()
+		methodPending: rpc.Method(func(_ context.Context, _ *rpc.Conn, r pendingRequest) (any, error) {
+			load, ok := s.Load(boottime.Now())
 			if !ok {
 				return nil, errNoLeader
 			}
-			return pending, nil
+			return r.responseOf(load), nil
 		}),
 		methodExplain: rpc.Method(func(_ context.Context, _ *rpc.Conn, r explainRequest) (*scheduler.Explanation, error) {
 			e, known, isLeader := s.Explain(r.Job)
@@ -147,13 +178,14 @@
 	return &leaderClient{election: e, scheduler: s, meter: m}
 }
 
-// Pending implements intake.LeaderClient.
-func (l *leaderClient) Pending(ctx context.Context) (map[string]int, error) {
-	if pending, ok := l.scheduler.PendingByQueue(); ok {
-		return pending, nil
+// Load implements intake.LeaderClient.
+func (l *leaderClient) Load(ctx context.Context) (scheduler.Load, error) {
+	if load, ok := l.scheduler.Load(boottime.Now()); ok {
+		return load, nil
 	}
-	var pending map[string]int
-	return pending, l.call(ctx, leaderCallTimeout, methodPending, empty{}, &pending)
+	var response pendingResponse
+	err := l.call(ctx, leaderCallTimeout, methodPending, pendingRequest{Load: true}, &response)
+	return response.Load, err
 }
 
 // NotifyStored implements intake.LeaderClient.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,9 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/scheduler"
 	"masticcart.example/masticcart/internal/wait"
@@ -60,8 +62,10 @@
 	// MaxCatalogAge is the time without confirmation of the configuration after which callers' keys are not trusted.
 	// Zero means no limit.
 	MaxCatalogAge time.Duration
-	// MaxPendingAge is how old a reported number of pending jobs may be.
+	// MaxPendingAge is how old the leader's figures on the queues may be. Without it no job is refused because of load.
 	MaxPendingAge time.Duration
+	// Scope is the parent scope of the metrics. Nil means none.
+	Scope tally.Scope
 }
 
 const (
@@ -85,8 +89,8 @@
 
 // LeaderClient calls the scheduler of the leader, on whichever entry it runs.
 type LeaderClient interface {
-	// Pending returns, by queue, the number of jobs without a started task.
-	Pending(ctx context.Context) (map[string]int, error)
+	// Load returns the leader's figures on the queues.
+	Load(ctx context.Context) (scheduler.Load, error)
 	// State returns the recorded state of a job, and whether the scheduler knows the job. While the job is unfinished,
 	// the call waits up to wait for a change.
 	State(ctx context.Context, job string, wait time.Duration) (batch.State, bool, error)
@@ -102,23 +106,32 @@
 	leader   LeaderClient
 	settings Settings
 
-	stored    chan kvstore.Entry // entries to notify the leader of
-	mu        sync.Mutex
-	pending   map[string]int // number of pending jobs by queue; nil before the first answer
-	pendingAt time.Duration  // boottime when pending was requested
+	metrics *metrics
+
+	stored      chan kvstore.Entry // entries to notify the leader of
+	loadNeeded  chan struct{}      // wakes followLoad
+	mu          sync.Mutex
+	load        scheduler.Load // Pending is nil before the first answer
+	loadAt      time.Duration  // boottime when load was requested
+	lastArrival time.Duration  // boottime of the last submission that may be refused because of load
+	unresolved  unresolvedJobs
 }
 
 // New returns the intake of an entry. Run has to be called to notify the leader of stored entries.
 func New(store kvstore.Store, catalogs *CatalogWatcher, leader LeaderClient, settings Settings) *Service {
 	return &Service{store: store, catalogs: catalogs, leader: leader, settings: settings,
-		stored: make(chan kvstore.Entry, storedQueueLength)}
+		metrics: newMetrics(settings.Scope), stored: make(chan kvstore.Entry, storedQueueLength),
+		loadNeeded: make(chan struct{}, 1), unresolved: unresolvedJobs{attempts: map[string]time.Duration{}, overflowAt: -unresolvedRetention}}
 }
 
 // storedQueueLength bounds the stored entries that the leader has yet to be notified of.
 const storedQueueLength = 64
 
-// Run notifies the leader of the entries that this process stores, until ctx ends.
+// Run notifies the leader of the entries that this process stores, and follows the load, until ctx ends.
 func (s *Service) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { s.followLoad(ctx) })
 	for {
 		select {
 		case e := <-s.stored:
@@ -150,8 +163,8 @@
 	return nil
 }
 
-// admission is the result of the checks on a request: its queue, its caller and the configuration that they used.
-type admission struct {
+// admitted is the result of the checks on a request: its queue, its caller and the configuration that they used.
+type admitted struct {
 	queue     *batch.Queue
 	team      string
 	jobID     string // from the path; empty if the path names the queue only
@@ -160,8 +173,8 @@
 	age       time.Duration     // time since the configuration was last confirmed
 }
 
-// admit finds the queue of a request and checks the caller's key. It returns either an admission or a refusal.
-func (s *Service) admit(r Request) (*admission, *Response) {
+// admit finds the queue of a request and checks the caller's key. It returns either the result or a refusal.
+func (s *Service) admit(r Request) (*admitted, *Response) {
 	catalog, condition, age := s.catalogs.Current()
 	if catalog.Version == 0 {
 		return nil, &Response{Outcome: Unavailable, Reason: "no configuration yet", RetryAfter: retryAfter}
@@ -170,7 +183,7 @@
 	if queue == nil {
 		return nil, &Response{Outcome: NoQueue, Reason: "no queue has this host and prefix"}
 	}
-	a := &admission{queue: queue, jobID: jobID, catalog: catalog, condition: condition, age: age}
+	a := &admitted{queue: queue, jobID: jobID, catalog: catalog, condition: condition, age: age}
 	if queue.Public {
 		return a, nil
 	}
@@ -236,6 +249,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
+	if refusal := s.refuseForLoad(ctx, job); refusal != nil {
+		return *refusal
+	}
 	return s.logResponse("Submission answered", r, a, started, s.storeJob(ctx, r, a, value))
 }
 
@@ -245,9 +261,19 @@
 // storeJob writes the job on the condition that it is new and that the configuration has not changed. It retries for
 // maxRetryTime if no attempt had an effect, and while the outcome is unknown until ctx ends or the store is out of
 // reach. The caller can then use the rest of its time to submit the job again through another entry.
-func (s *Service) storeJob(ctx context.Context, r Request, a *admission, value []byte) Response {
+func (s *Service) storeJob(ctx context.Context, r Request, a *admitted, value []byte) (response Response) {
 	key := scheduler.JobKey(a.jobID)
 	mayBeStored := false
+	s.mu.Lock()
+	s.unresolved.add(a.jobID, boottime.Now())
+	s.mu.Unlock()
+	defer func() {
+		if response.Outcome == OK {
+			s.mu.Lock()
+			s.unresolved.remove(a.jobID)
+			s.mu.Unlock()
+		}
+	}()
 	started := time.Now()
 	for {
 		revision, err := s.tryWrite(ctx, kvstore.Txn{
@@ -310,7 +336,7 @@
 }
 
 // logResponse logs the response to a request and returns it.
-func (s *Service) logResponse(message string, r Request, a *admission, started time.Time, response Response) Response {
+func (s *Service) logResponse(message string, r Request, a *admitted, started time.Time, response Response) Response {
 	id, queue, team, version, age := r.Path, "", "", s.catalogs.Catalog().Version, time.Duration(0)
 	if a != nil {
 		id, queue, team, version, age = a.jobID, a.queue.Name, a.team, a.catalog.Version, a.age
--- a/internal/intake/job_state.go
+++ b/internal/intake/job_state.go
@@ -9,7 +9,6 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
-	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/scheduler"
 	"masticcart.example/masticcart/internal/wait"
@@ -83,7 +82,7 @@
 }
 
 // countPending returns the number of pending jobs of a queue.
-func (s *Service) countPending(ctx context.Context, r Request, a *admission, started time.Time) Response {
+func (s *Service) countPending(ctx context.Context, r Request, a *admitted, started time.Time) Response {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
 	pending, err := s.pendingByQueue(ctx)
@@ -97,20 +96,13 @@
 // pendingByQueue returns the number of pending jobs by queue, at most MaxPendingAge old. Failed calls to the leader are
 // retried until ctx ends.
 func (s *Service) pendingByQueue(ctx context.Context) (map[string]int, error) {
-	s.mu.Lock()
-	if s.pending != nil && boottime.Now()-s.pendingAt < s.settings.MaxPendingAge {
-		defer s.mu.Unlock()
-		return s.pending, nil
+	if load, age := s.knownLoad(); load.Pending != nil && age < s.settings.MaxPendingAge {
+		return load.Pending, nil
 	}
-	s.mu.Unlock()
 	for {
-		requestedAt := boottime.Now()
-		pending, err := s.leader.Pending(ctx)
+		load, err := s.refreshLoad(ctx)
 		if err == nil {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.pending, s.pendingAt = pending, requestedAt
-			return pending, nil
+			return load.Pending, nil
 		}
 		if ctx.Err() != nil {
 			return nil, err
@@ -132,7 +124,7 @@
 }
 
 // storeCancellation writes the cancellation of a job, and retries until ctx ends.
-func (s *Service) storeCancellation(ctx context.Context, a *admission) Response {
+func (s *Service) storeCancellation(ctx context.Context, a *admitted) Response {
 	for {
 		err := s.tryStoreCancellation(ctx, a.jobID)
 		switch {
--- a/internal/intake/store_silence_test.go
+++ b/internal/intake/store_silence_test.go
@@ -9,6 +9,7 @@
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/kvstore/memstore"
+	"masticcart.example/masticcart/internal/scheduler"
 )
 
 const (
@@ -67,7 +68,7 @@
 
 var errNoLeader = errors.New("no leader")
 
-func (noLeader) Pending(context.Context) (map[string]int, error) { return nil, errNoLeader }
+func (noLeader) Load(context.Context) (scheduler.Load, error) { return scheduler.Load{}, errNoLeader }
 
 func (noLeader) State(context.Context, string, time.Duration) (batch.State, bool, error) {
 	return "", false, errNoLeader
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -75,7 +75,9 @@
 	// appliedThrough is the revision up to which all changes of the intake are applied. An entry of a job up to it that the
 	// core does not have has arrived late: the job was deleted, or cannot be used.
 	appliedThrough kvstore.Revision
-	recordsWritten chan struct{} // closed and replaced after each write
+	recordsWritten chan struct{}        // closed and replaced after each write
+	waits          map[string]QueueWait // as forecast last; nil before
+	waitsAt        time.Duration        // boottime of the forecast
 }
 
 // Lead runs the scheduler until ctx ends or the term is lost.
@@ -175,18 +177,6 @@
 	s.term, s.handover, s.handoverOf = nil, handover, t.term
 }
 
-// PendingByQueue returns for each queue the number of jobs without a started task. It returns false unless this process
-// is the leader.
-func (s *Service) PendingByQueue() (map[string]int, bool) {
-	t := s.currentTerm()
-	if t == nil {
-		return nil, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.core.PendingByQueue(), true
-}
-
 // Explain describes a job. leads is false unless this process is the leader, known is false if it does not have the
 // job.
 func (s *Service) Explain(id string) (e *Explanation, known, leads bool) {
