configcheck: check a configuration before it is put in force

Cause: an operator learned of a queue that never matches, of a team without keys or of a guarantee above the capacity only from jobs that did not run.

Change: masticcart check-config decodes a configuration with the daemon's code and lists errors, warnings and the differences from a file or from the leader's version, which the new call scheduler.config returns with hashes instead of keys. The exit code is 1 if there is an error.

--- a/cmd/masticcart/main_test.go
+++ b/cmd/masticcart/main_test.go
@@ -46,6 +46,20 @@
 	return reply{http.StatusOK, api.JobReply{Job: j}}
 }
 
+// editedConfig returns a file with a configuration for the platform that has no findings, in which values are replaced.
+func editedConfig(t *testing.T, values ...string) string {
+	t.Helper()
+	data, err := os.ReadFile("../../platform/testdata/configuration.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(name, []byte(strings.NewReplacer(values...).Replace(string(data))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
 // TestExitCodes guards against exit codes by which a script takes a refusal, an unknown outcome or a stale change for
 // success, and against calls whose body differs from the command line.
 func TestExitCodes(t *testing.T) {
@@ -109,6 +123,16 @@
 			reply{200, api.ConfigStatusReply{Rows: []api.ConfigStatusRow{{Process: "e1"}}}}, 0, "", "e1", ""},
 		{"config", "", reply{}, 2, "", "", "status or show"},
 		{"token hash", "", reply{}, 0, "", "3f4d0948f4454bce65ded77023b9260b17b6607696a733e2f667315f9bfd95b9", ""},
+		{"check-config " + editedConfig(t), "", reply{}, 0, "", "no findings", ""},
+		{"check-config -o json " + editedConfig(t), "", reply{}, 0, "", "[]", ""},
+		{"check-config " + editedConfig(t, "1.5", "0.5"), "", reply{}, 0, "", "below 1", ""},
+		{"check-config " + editedConfig(t, "1.5", "-1"), "", reply{}, 1, "", "negative", ""},
+		{"check-config " + editedConfig(t, "1.5", "x"), "", reply{}, 1, "", "error", ""},
+		{"check-config --against " + editedConfig(t, "1.5", "3") + " " + editedConfig(t), "", reply{}, 0, "",
+			"slack factor: 1.5, before: 3", ""},
+		{"check-config --against none " + editedConfig(t), "", reply{}, 2, "", "", "none"},
+		{"check-config --in-force --against x y", "", reply{}, 2, "", "", "exclude each other"},
+		{"check-config", "", reply{}, 2, "", "", "want one argument"},
 		{"frob", "", reply{}, 2, "", "", `no command "frob"`},
 		{"status a/1 --frob", "", reply{}, 2, "", "", "frob"},
 		{"status a/1 -o xml", "", reply{}, 2, "", "", "xml"},
--- a/cmd/masticcart/operator.go
+++ b/cmd/masticcart/operator.go
@@ -26,7 +26,7 @@
 	return []*cli.Command{
 		a.requestCommand(), a.submitCommand(), a.statusCommand(), a.waitCommand(), a.cancelCommand(),
 		a.queryCommand(), a.explainCommand(), a.changeCommand(), a.configCommand(), a.tokenCommand(),
-		a.platformCommand(),
+		a.platformCommand(), a.checkConfigCommand(),
 	}
 }
 
--- a/internal/hosted/deployment_test.go
+++ b/internal/hosted/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"net/http/httptest"
@@ -229,6 +230,10 @@
 	if _, err := Query(context.Background(), addresses, "show everything"); err == nil {
 		t.Error("no error for an invalid query")
 	}
+	c, err := InForce(context.Background(), addresses)
+	if err != nil || c.Catalog.Version != 1 || c.Fleet["s"] == 0 || len(c.Catalog.Teams[0].Keys[0]) != 2*sha256.Size {
+		t.Errorf("configuration in force %+v, %v; want version 1, workers of s, and hashes of keys", c, err)
+	}
 }
 
 // Guards against an evacuation that operators cannot follow: neither the request nor what still runs there is shown, or a
--- a/internal/hosted/leader.go
+++ b/internal/hosted/leader.go
@@ -12,6 +12,7 @@
 
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/boottime"
+	"masticcart.example/masticcart/internal/configcheck"
 	"masticcart.example/masticcart/internal/election"
 	"masticcart.example/masticcart/internal/intake"
 	"masticcart.example/masticcart/internal/kvstore"
@@ -27,6 +28,7 @@
 	methodExplain      = "scheduler.explain"
 	methodQuery        = "scheduler.query"
 	methodState        = "scheduler.state"
+	methodInForce      = "scheduler.config"
 )
 
 // methodRelease asks an entry to remove the leader key of the caller's term from the store, because the caller cannot
@@ -148,6 +150,9 @@
 		methodQuery: rpc.Method(func(_ context.Context, _ *rpc.Conn, r queryRequest) (*query.Result, error) {
 			return evaluateQuery(s, r.Text)
 		}),
+		methodInForce: rpc.Method(func(context.Context, *rpc.Conn, empty) (*configcheck.InForce, error) {
+			return inForce(s)
+		}),
 		methodState: rpc.Method(func(ctx context.Context, _ *rpc.Conn, r stateRequest) (stateResponse, error) {
 			state, known := s.WaitState(ctx, r.Job, time.Duration(r.WaitMS)*time.Millisecond)
 			return stateResponse{State: state, Known: known}, nil
--- a/internal/hosted/query.go
+++ b/internal/hosted/query.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"masticcart.example/masticcart/internal/configcheck"
 	"masticcart.example/masticcart/internal/model"
 	"masticcart.example/masticcart/internal/protocol"
 	"masticcart.example/masticcart/internal/query"
@@ -34,6 +35,28 @@
 	return result, callLeader(ctx, addresses, methodQuery, queryRequest{Text: text}, &result)
 }
 
+// InForce returns the leader's configuration, without keys, and the workers that it knows. It finds the leader as Explain
+// does.
+func InForce(ctx context.Context, addresses []string) (*configcheck.InForce, error) {
+	var c configcheck.InForce
+	return &c, callLeader(ctx, addresses, methodInForce, empty{}, &c)
+}
+
+// inForce returns the configuration in force and the accelerators of the known workers by service.
+func inForce(s *scheduler.Service) (*configcheck.InForce, error) {
+	state := s.View()
+	if state == nil {
+		return nil, errNoLeader
+	}
+	fleet := configcheck.Fleet{}
+	for i := range state.Workers {
+		if w := &state.Workers[i].Identity; w.Service != "" {
+			fleet[w.Service] += w.Units
+		}
+	}
+	return &configcheck.InForce{Catalog: configcheck.HashKeys(state.Catalog), Fleet: fleet}, nil
+}
+
 // callLeader calls the entries one after the other until one responds without an error.
 func callLeader(ctx context.Context, addresses []string, method string, args, reply any) error {
 	var errs []error
