admission: apply a forecast only to jobs that it describes

Cause (found by reading the change): the forecast is for the least demanding and most urgent open job of a queue. A new job that needs less, or is more urgent than all of them, may start sooner and was refused all the same.

Change: the leader sends what the forecast is for, and entries accept jobs that need less or are more urgent. A test of a deployment on loopback checks that both entries refuse work once the leader forecasts a wait, that the refused job is not stored, and that a stored one is acknowledged.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,6 +7,8 @@
 
 import (
 	"time"
+
+	"masticcart.example/masticcart/internal/batch"
 )
 
 // LateFactor times the latency objective of a job is its late limit, after which its result is of little use.
@@ -20,6 +22,8 @@
 	// SlackFactor times the longest chain, plus TargetLatency, is the latency objective. Both are those of the queue.
 	SlackFactor   float64
 	TargetLatency time.Duration
+	// Need is the least that a task which starts first needs.
+	Need batch.Resources
 	// Deferred means that the job does not begin when it is accepted, or never ends, so that it has no late limit.
 	Deferred bool
 }
@@ -30,6 +34,10 @@
 	Wait time.Duration
 	// DurationRatio is the ratio of real to estimated durations of the queue's tasks.
 	DurationRatio float64
+	// Wait applies to jobs that need at least Need, and whose latest start that meets the objective is at least
+	// LatestStart after their acceptance. Others may start sooner.
+	Need        batch.Resources
+	LatestStart time.Duration
 	// Age is the time since the entry requested the figures. A negative age, which a jump of the clock may cause, counts
 	// as unknown.
 	Age time.Duration
@@ -46,18 +54,20 @@
 }
 
 // Decide refuses a job if it is expected to end after its late limit. It accepts jobs of priority 0, jobs without a
-// latency objective, jobs that would miss the limit on an idle fleet as well, and all jobs if the figures are older than
-// maxAge.
+// latency objective, jobs that would miss the limit on an idle fleet as well, and all jobs if the figures are older
+// than maxAge or do not apply to the job.
 func Decide(j Job, f Figures, maxAge time.Duration) Decision {
 	ratio := f.DurationRatio
 	if !(ratio > 0) { // also true for NaN
 		ratio = 1
 	}
 	chain := j.Chain.Seconds() * ratio
-	limit := LateFactor * (j.SlackFactor*chain + j.TargetLatency.Seconds())
+	objective := j.SlackFactor*chain + j.TargetLatency.Seconds()
+	limit := LateFactor * objective
 	d := Decision{Wait: f.Wait, Chain: duration(chain), Limit: duration(limit)}
 	known := f.Age >= 0 && f.Age <= maxAge && f.Wait > 0
-	if j.Priority <= 0 || j.Deferred || !known || limit <= chain || f.Wait.Seconds()+chain <= limit {
+	applies := f.Need.FitsIn(j.Need) && duration(objective-chain)+rounding >= f.LatestStart
+	if j.Priority <= 0 || j.Deferred || !known || !applies || limit <= chain || f.Wait.Seconds()+chain <= limit {
 		return d
 	}
 	d.Refused = true
@@ -65,6 +75,9 @@
 	return d
 }
 
+// rounding allows for LatestStart, which is sent in whole milliseconds and computed from the same values.
+const rounding = time.Millisecond
+
 // duration converts seconds, and limits the result to maxSpan.
 func duration(seconds float64) time.Duration {
 	return time.Duration(min(seconds, maxSpan.Seconds()) * float64(time.Second))
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -25,20 +25,24 @@
 		change  func(*Job, *Figures)
 		refused bool
 	}{
-		"too late":               {func(*Job, *Figures) {}, true},
-		"oldest usable figures":  {func(_ *Job, f *Figures) { f.Age = maxAge }, true},
-		"within the limit":       {func(_ *Job, f *Figures) { f.Wait = 8 * time.Second }, false},
-		"urgent":                 {func(j *Job, _ *Figures) { j.Priority = 0 }, false},
-		"recurring":              {func(j *Job, _ *Figures) { j.Deferred = true }, false},
-		"no objective":           {func(j *Job, _ *Figures) { j.SlackFactor, j.TargetLatency = 0, 0 }, false},
-		"late on an idle fleet":  {func(j *Job, _ *Figures) { j.SlackFactor, j.TargetLatency = 0.1, 0 }, false},
-		"no figures":             {func(_ *Job, f *Figures) { *f = Figures{} }, false},
-		"figures too old":        {func(_ *Job, f *Figures) { f.Age = maxAge + 1 }, false},
-		"clock moved back":       {func(_ *Job, f *Figures) { f.Age = -time.Hour }, false},
-		"tasks take longer":      {func(_ *Job, f *Figures) { f.Wait, f.DurationRatio = 8*time.Second, 2 }, false},
-		"tasks take less time":   {func(_ *Job, f *Figures) { f.Wait, f.DurationRatio = 6*time.Second, 0.2 }, true},
-		"ratio is not a number":  {func(_ *Job, f *Figures) { f.DurationRatio = math.NaN() }, true},
-		"estimate of many years": {func(j *Job, f *Figures) { j.Chain, f.Wait = math.MaxInt64, math.MaxInt64 }, false},
+		"too late":                       {func(*Job, *Figures) {}, true},
+		"oldest usable figures":          {func(_ *Job, f *Figures) { f.Age = maxAge }, true},
+		"within the limit":               {func(_ *Job, f *Figures) { f.Wait = 8 * time.Second }, false},
+		"urgent":                         {func(j *Job, _ *Figures) { j.Priority = 0 }, false},
+		"recurring":                      {func(j *Job, _ *Figures) { j.Deferred = true }, false},
+		"no objective":                   {func(j *Job, _ *Figures) { j.SlackFactor, j.TargetLatency = 0, 0 }, false},
+		"late on an idle fleet":          {func(j *Job, _ *Figures) { j.SlackFactor, j.TargetLatency = 0.1, 0 }, false},
+		"needs less":                     {func(_ *Job, f *Figures) { f.Need.Accelerators = 2 }, false},
+		"needs more":                     {func(j *Job, _ *Figures) { j.Need.Accelerators = 1 }, true},
+		"as urgent":                      {func(_ *Job, f *Figures) { f.LatestStart = 2 * time.Second }, true},
+		"more urgent than all open jobs": {func(_ *Job, f *Figures) { f.LatestStart = 3 * time.Second }, false},
+		"no figures":                     {func(_ *Job, f *Figures) { *f = Figures{} }, false},
+		"figures too old":                {func(_ *Job, f *Figures) { f.Age = maxAge + 1 }, false},
+		"clock moved back":               {func(_ *Job, f *Figures) { f.Age = -time.Hour }, false},
+		"tasks take longer":              {func(_ *Job, f *Figures) { f.Wait, f.DurationRatio = 8*time.Second, 2 }, false},
+		"tasks take less time":           {func(_ *Job, f *Figures) { f.Wait, f.DurationRatio = 6*time.Second, 0.2 }, true},
+		"ratio is not a number":          {func(_ *Job, f *Figures) { f.DurationRatio = math.NaN() }, true},
+		"estimate of many years":         {func(j *Job, f *Figures) { j.Chain, f.Wait = math.MaxInt64, math.MaxInt64 }, false},
 	} {
 		j, f := with(c.change)
 		if d := Decide(j, f, maxAge); d.Refused != c.refused || (d.RetryAfter > 0) != c.refused {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -158,6 +159,17 @@
 	return longest
 }
 
+// LeastNeed returns the least that a task of the steps without a predecessor needs, for each resource on its own.
+func (j *Job) LeastNeed() Resources {
+	least := Resources{MilliCPU: math.MaxInt, MemoryMB: math.MaxInt, Accelerators: math.MaxInt}
+	for i := range j.Steps {
+		if len(j.Steps[i].After) == 0 {
+			least = least.Min(j.Steps[i].Reserved())
+		}
+	}
+	return least
+}
+
 // Due returns the earliest start of an occurrence. The zero time means that it may start at once.
 func (j *Job) Due(occurrence int) time.Time {
 	if j.RepeatCount == 0 {
--- a/internal/hosted/deployment_test.go
+++ b/internal/hosted/deployment_test.go
@@ -267,6 +267,30 @@
 	d.eventually(10*time.Second, "completed after the data centre is taken back", func() bool { return d.state(0, 2) == "completed" })
 }
 
+// Guards against figures on the load that do not reach the entries, by which nothing would ever be refused: the only
+// worker has work for 330 s, and a job of 30 s may wait for 243 s. A refused job is not stored, and one that is
+// stored is acknowledged again.
+func TestEntriesRefuseWorkThatWouldBeLate(t *testing.T) {
+	d := newDeployment(t, 1)
+	for id := 1; id < 12; id++ {
+		d.submitUntilAccepted(id%2, id, standin.EstimatedJob(60000, 30000))
+	}
+	for entry := range d.entries {
+		last := 100 * (1 + entry)
+		d.eventually(15*time.Second, "refused", func() bool {
+			last++
+			status, body := d.call(entry, "POST", last, standin.EstimatedJob(10, 30000))
+			return status == 503 && strings.Contains(body, "overloaded")
+		})
+		if state := d.state(entry, last); state != "410" {
+			t.Errorf("the refused job has the state %s", state)
+		}
+		if status, body := d.call(entry, "POST", 1, standin.EstimatedJob(60000, 30000)); status != 200 {
+			t.Errorf("repeat of a stored job: status %d, %s", status, body)
+		}
+	}
+}
+
 // If an agent restarts and the leader stops while tasks are running, no job is lost and no task is started twice.
 func TestRestartsLoseNothing(t *testing.T) {
 	d := newDeployment(t, 2)
--- a/internal/intake/load.go
+++ b/internal/intake/load.go
@@ -60,8 +60,10 @@
 	load, age := s.noteArrival()
 	queueWait := load.Waits[q.Name]
 	d := admission.Decide(admission.Job{ID: j.ID, Priority: q.Priority, Chain: j.LongestChain(),
-		SlackFactor: q.SlackFactor, TargetLatency: q.TargetLatency, Deferred: isDeferred(j)},
-		admission.Figures{Wait: time.Duration(queueWait.WaitMS) * time.Millisecond,
+		SlackFactor: q.SlackFactor, TargetLatency: q.TargetLatency, Need: j.LeastNeed(),
+		Deferred: isDeferred(j)},
+		admission.Figures{Wait: time.Duration(queueWait.WaitMS) * time.Millisecond, Need: queueWait.Need,
+			LatestStart:   time.Duration(queueWait.LatestStartMS) * time.Millisecond,
 			DurationRatio: queueWait.DurationRatio, Age: age}, s.settings.MaxPendingAge)
 	decision := decisionAccept
 	switch {
--- a/internal/scheduler/queue_wait.go
+++ b/internal/scheduler/queue_wait.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"time"
 
 	"masticcart.example/masticcart/internal/admission"
@@ -22,6 +21,10 @@
 	WaitMS int64 `json:"wait"` // milliseconds until the start of a job that is accepted now
 	// DurationRatio is the ratio of real to estimated durations of the queue's tasks.
 	DurationRatio float64 `json:"ratio"`
+	// Need and LatestStartMS describe the least demanding and the most urgent job of the queue. Jobs that need less or are
+	// more urgent may start sooner.
+	Need          batch.Resources `json:"need"`
+	LatestStartMS int64           `json:"latest"` // from the acceptance to the latest start that meets the objective
 }
 
 const (
@@ -46,8 +49,12 @@
 		if len(s.Queues) == 0 {
 			continue
 		}
-		for queue, wait := range queuewait.Forecast(s) {
-			waits[queue] = QueueWait{WaitMS: wait.Milliseconds(), DurationRatio: c.durationStats(queue).ratio}
+		forecast := queuewait.Forecast(s)
+		for i := range s.Queues {
+			if q := &s.Queues[i]; forecast[q.Name] > 0 {
+				waits[q.Name] = QueueWait{WaitMS: forecast[q.Name].Milliseconds(), Need: q.Need,
+					LatestStartMS: q.LatestStart.Milliseconds(), DurationRatio: c.durationStats(q.Name).ratio}
+			}
 		}
 	}
 	return waits
@@ -134,16 +141,10 @@
 func addToQueue(queues map[string]*queuewait.Queue, j *job, q *batch.Queue, latestStart time.Duration) {
 	queue := queues[q.Name]
 	if queue == nil {
-		queue = &queuewait.Queue{Name: q.Name, Priority: q.Priority, LatestStart: latestStart,
-			Need: batch.Resources{MilliCPU: math.MaxInt, MemoryMB: math.MaxInt, Accelerators: math.MaxInt}}
+		queue = &queuewait.Queue{Name: q.Name, Priority: q.Priority, LatestStart: latestStart, Need: j.LeastNeed()}
 		queues[q.Name] = queue
 	}
-	queue.LatestStart = min(queue.LatestStart, latestStart)
-	for i := range j.Steps {
-		if len(j.Steps[i].After) == 0 {
-			queue.Need = queue.Need.Min(j.Steps[i].Reserved())
-		}
-	}
+	queue.LatestStart, queue.Need = min(queue.LatestStart, latestStart), queue.Need.Min(j.LeastNeed())
 }
 
 // longestChainOf returns the expected duration of the longest chain of a job's steps.
--- a/internal/scheduler/queuewait/queuewait.go
+++ b/internal/scheduler/queuewait/queuewait.go
@@ -1,5 +1,5 @@
-// Package queuewait forecasts how long a job that is accepted now waits until it starts. The forecast is a function of a
-// snapshot of the work and the capacity of one service.
+// Package queuewait forecasts how long a job that is accepted now waits until it starts. The forecast is a function of
+// a snapshot of the work and the capacity of one service.
 //
 // It addresses backlogs: bursts, and jobs that fill the fleet. It is meant for refusing work, so it rather
 // underestimates: each resource is followed on its own, the service counts as one large worker without fragmentation,
@@ -111,7 +111,7 @@
 	return f
 }
 
-// start starts a task as soon as it fits. A task that never fits waits for capacity that is missing now, and is skipped.
+// start starts a task as soon as it fits. A task that never fits waits for capacity that is missing now; it is skipped.
 func (f *fleet) start(need int, takes time.Duration) {
 	if need <= 0 || need > f.total {
 		return
