scheduler: place and preempt by the policy for scarcity

Cause: under overload the scheduler gave capacity to work that misses its aim in any case, and the preemption had waste: a gang that was stopped for one slot counted once for each member, and its other members' room was not used; only the member that was chosen counted as stopped before; the next leader did not know of earlier stops; a claim on a lost worker blocked its unit for 1.5 s; the releases of runs that are being stopped were taken to be as late as their end.

Change: units are ordered by package policy, stops are limited by it. Gangs of priority 1 stop checkpointed work of priority 2 if they would miss their aim. Durations are predicted from the estimate and the typical duration of a queue, by how well each did. The account counts what each team yields.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, test, lint, demo, bench, fuzz, mutants, capacity.
+# Targets: build, test, lint, demo, bench, loads, fuzz, mutants, capacity.
 GO       ?= go
 BIN      := bin
 LINT     := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
@@ -58,6 +58,12 @@
 bench:
 	$(GO) run ./cmd/masticcart-bench $(BENCH_FLAGS)
 
+.PHONY: loads
+# Prints what callers get and what is lost under each load, with the policy and with earlier rules: for each priority the
+# jobs in time, late and overdue, and the seconds waited in total; jobs of team b in time; lost core-seconds.
+loads:
+	$(GO) test ./internal/scheduler -count=1 -v -run '^TestLoads$$' | grep -E '^ok|FAIL| p0 '
+
 .PHONY: soak
 # Runs separate processes under faults injected from outside; SOAK_SEED=0 draws a random seed. The seed is printed.
 SOAK_SEED ?= 0
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -80,6 +80,7 @@
 	outbox        []Order                   // orders that need no record
 	durations     map[string]*durationStats // by queue
 	claims        map[*stepInstance]*claim
+	predictions   map[string]*prediction // by queue
 	urgentDemand  accelDemand
 	inFlight      []*WriteBatch // uncommitted batches, and later ones that wait for them; oldest first
 	planNeeded    bool          // something has changed that may allow a new placement
@@ -90,6 +91,8 @@
 	stats              Stats
 	lostWork           map[LossCause]float64 // core-seconds
 	suspects           map[*task]struct{}    // tasks with crashes or unresolved losses
+	rules              rules
+	yielded            map[string]float64 // core-seconds lost by preemption for other teams, by team
 	evacuations        evacuation.View
 	startsHeld         bool                      // nothing may start, see mayStart
 	speedTrackers      map[string]*speed.Tracker // by service
@@ -114,7 +117,8 @@
 	return &Core{config: config, jobs: map[string]*job{}, workers: map[string]*worker{},
 		earlyCancels: map[string]bool{}, claims: map[*stepInstance]*claim{}, startedAt: now, catalog: &batch.Catalog{},
 		durations: map[string]*durationStats{}, lostWork: map[LossCause]float64{},
-		suspects: map[*task]struct{}{}, speedTrackers: map[string]*speed.Tracker{}}
+		suspects: map[*task]struct{}{}, speedTrackers: map[string]*speed.Tracker{}, rules: policyRules,
+		predictions: map[string]*prediction{}, yielded: map[string]float64{}}
 }
 
 // Stats returns the number of events of runs and tasks by kind.
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -22,10 +22,16 @@
 		p.emptyWorkersFor(u, n)
 		return
 	}
-	if u.queue.Priority == 0 {
-		if _, nodes := p.earliestFit(u, n, p.now+maxWaitForRelease); nodes != nil {
+	if p.mayClaim(u, n) {
+		at, nodes := p.earliestFit(u, n, max(u.demand.Aim-u.demand.Remaining, p.now+maxWaitForRelease))
+		if nodes != nil && at <= p.now+maxWaitForRelease {
 			return
 		}
+		// The fit of one task says nothing of the others, and what another unit waits for must not be counted twice.
+		if nodes != nil && (u.step.spec.Gang || n == 1) && p.reservationCount < maxReservations &&
+			!slices.ContainsFunc(nodes, func(node string) bool { _, ok := p.reservedFrom[node]; return ok }) {
+			u.demand.ReleaseAt = at
+		}
 		if more := p.preempt(u, n); more != nil {
 			p.withholdClaim(more)
 			p.core.addClaim(u.step, more)
@@ -39,10 +45,16 @@
 	}
 }
 
+// mayClaim reports whether other work may be stopped for n tasks of the unit. Priority 0 may preempt; for other work only
+// tasks are stopped that lose nothing but their restore time, see mayStop.
+func (p *planner) mayClaim(u unit, n int) bool {
+	return u.queue.Priority == 0 || u.step.spec.Gang && !u.suspect && !p.mustKeepHeadroom(u, n)
+}
+
 const (
-	// maxWaitForRelease is how long an urgent unit waits for running tasks to end before it preempts others. It is
-	// about the time that stopping tasks takes: longer waits would rely on estimates, and a late start of urgent work
-	// costs more than a restart of other work.
+	// maxWaitForRelease is how long an urgent unit waits for running tasks to end before it preempts others at any
+	// acceptable loss. It is about the time that stopping tasks takes: longer waits rely on estimates, and a late start of
+	// urgent work costs more than a restart of other work. Package policy accepts a smaller loss for a longer wait.
 	maxWaitForRelease = 150 * time.Millisecond
 	// forever is later than the end of any task.
 	forever = time.Duration(math.MaxInt64)
@@ -67,8 +79,11 @@
 			continue
 		}
 		for _, t := range w.sortedTasks() {
-			p.releases = append(p.releases,
-				capacityRelease{p.now + p.core.remainingTime(t, p.now), w.node, t.step.spec.Reserved()})
+			remaining := p.core.remainingTime(t, p.now)
+			if t.phase == stopping {
+				remaining = min(remaining, p.core.config.StopTimeout)
+			}
+			p.releases = append(p.releases, capacityRelease{p.now + remaining, w.node, t.step.spec.Reserved()})
 		}
 	}
 	slices.SortStableFunc(p.releases, func(a, b capacityRelease) int { return cmp.Compare(a.at, b.at) })
--- a/internal/scheduler/late_runs.go
+++ b/internal/scheduler/late_runs.go
@@ -130,7 +130,7 @@
 		c.stopRun(t, LossLate, "late on slow workers", p.now)
 	}
 	s.job().dirty = true
-	p.stopVictims(victims, s.job().ID)
+	p.stopVictims(victims, s.job())
 	cl := &claim{expires: p.now + claimTimeout, nodes: nodes, need: s.spec.Reserved()}
 	p.withholdClaim(cl)
 	c.addClaim(s, cl)
@@ -147,7 +147,7 @@
 // projectRun projects the end of a run from the progress of its members.
 func (p *planner) projectRun(s *stepInstance, members []*task) lateRun {
 	c := p.core
-	r := lateRun{aim: c.deadline(s, p.now) - c.longestChain(s) + c.expectedDuration(s)}
+	r := lateRun{aim: c.deadline(s, p.now) - c.longestChain(s) + c.likelyDuration(s.job(), s.spec)}
 	for _, t := range members {
 		total := float64(t.progressAt-t.paceSince) * 100 / float64(t.percent-t.basePercent)
 		rest := total * float64(100-t.percent) / 100
--- a/internal/scheduler/lost_work.go
+++ b/internal/scheduler/lost_work.go
@@ -33,6 +33,10 @@
 // checkpoint has saved does not count.
 func (c *Core) LostWork() map[LossCause]float64 { return c.lostWork }
 
+// YieldedWork returns the work in core-seconds that each team has lost by preemption for other teams since the leader
+// took over.
+func (c *Core) YieldedWork() map[string]float64 { return c.yielded }
+
 // recordLoss adds the work of a run that ends without success to the account. cause applies unless the run was being
 // stopped for another one.
 func (c *Core) recordLoss(t *task, cause LossCause, now time.Duration) {
@@ -46,7 +50,11 @@
 	if t.step.spec.Checkpoints {
 		from = max(from, t.checkpointAt)
 	}
-	c.lostWork[cause] += (now - from).Seconds() * t.step.spec.Need.CoreEquivalents()
+	lost := (now - from).Seconds() * t.step.spec.Need.CoreEquivalents()
+	c.lostWork[cause] += lost
+	if team := t.step.job().Team; (cause == LossPreempted || cause == LossMemberPreempted) && team != t.preemptedFor {
+		c.yielded[team] += lost
+	}
 }
 
 // finalLossCause returns the cause for the runs of a job that ends in a final state.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -75,6 +75,7 @@
 	headroom float64
 	// coldLimits holds by service the most runs that a cold worker may have; nil for no limit.
 	coldLimits map[string]int
+	shares     map[string]float64 // of the teams; nil until teamShares is called
 }
 
 // place assigns a unit, or claims or reserves capacity for it.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/scheduler/policy"
 )
 
 // claim is capacity that is being freed for a step by preemption.
@@ -21,10 +22,14 @@
 // claimTimeout limits the life of a claim. Stopping takes less time, and after the timeout the unit may claim again.
 const claimTimeout = 1500 * time.Millisecond
 
-// expireClaims removes claims that have timed out and those of finished jobs.
+// expireClaims removes claims that have timed out and those of finished jobs. Capacity on workers that take no new tasks
+// any more is removed from the others, so that their units claim elsewhere at once.
 func (c *Core) expireClaims(now time.Duration) {
 	for s, cl := range c.claims {
-		if now > cl.expires || s.job().state.Final() {
+		cl.nodes = slices.DeleteFunc(cl.nodes, func(node string) bool {
+			return !c.workers[node].usable(now) || c.evacuated(c.workers[node])
+		})
+		if now > cl.expires || s.job().state.Final() || len(cl.nodes) == 0 {
 			delete(c.claims, s)
 		}
 	}
@@ -73,10 +78,16 @@
 }
 
 // preempt stops less urgent tasks so that n tasks of the unit fit, or as many as possible if they start independently.
-// It chooses the workers with the least loss of work, among those on which the unit makes its aim if possible. It returns nil if it stops nothing.
+// It chooses the workers with the least loss of work, among those on which the unit makes its aim if possible. It returns
+// nil if it stops nothing.
 func (p *planner) preempt(u unit, n int) *claim {
 	s := u.step
 	need := s.spec.Reserved()
+	freeAt := p.now + p.core.config.StopTimeout + stopOverhead
+	u.demand.Work = p.core.unitWork(&u, n)
+	if !p.core.rules.mayPreempt(&u.demand, 0, freeAt, p.now) {
+		return nil
+	}
 	groups := p.workerGroups(u, n)
 	var best *eviction
 	if faster, differ := fastEnough(groups); differ {
@@ -85,24 +96,27 @@
 	if best == nil || len(best.nodes) < n || best.cost > p.maxLoss(u, n) {
 		best = p.bestEviction(u, groups, need, n)
 	}
-	if best == nil || best.cost > p.maxLoss(u, len(best.nodes)) && !u.guaranteed {
+	if best == nil {
+		return nil
+	}
+	u.demand.Work = p.core.unitWork(&u, len(best.nodes))
+	if !p.core.rules.mayPreempt(&u.demand, best.cost, freeAt, p.now) {
 		return nil
 	}
 	cl := &claim{expires: p.now + claimTimeout, nodes: best.nodes, need: need}
 	klog.InfoS("Preempting", "job", s.job().ID, "step", s.index, "tasks", n, "nodes", best.nodes,
-		"victims", len(best.victims), "cost", best.cost)
-	p.stopVictims(best.victims, s.job().ID)
+		"victims", len(best.victims), "cost", best.cost, "limit", policy.AcceptableLoss(&u.demand, freeAt, p.now),
+		"work", u.demand.Work, "class", policy.ClassOf(&u.demand, p.now), "aimInMs", (u.demand.Aim - p.now).Milliseconds(),
+		"remainingMs", u.demand.Remaining.Milliseconds(), "releaseInMs", max(0, u.demand.ReleaseAt-p.now).Milliseconds())
+	p.stopVictims(best.victims, s.job())
 	return cl
 }
 
 // stopVictims stops tasks, and their gangs, in favor of a job.
-func (p *planner) stopVictims(victims []*task, job string) {
+func (p *planner) stopVictims(victims []*task, by *job) {
 	for _, v := range victims {
 		if v.phase == assigned {
-			p.core.stats.Preempted++
-			v.preemptions++
-			p.core.stopRun(v, LossPreempted, "preempted by "+job, p.now)
-			p.core.stopGang(v, LossMemberPreempted, "member preempted", p.now)
+			p.core.stopPreempted(v, by, p.now)
 		}
 	}
 }
@@ -118,17 +132,48 @@
 	return best
 }
 
-// maxLoss returns the loss of work, in core-seconds, that is acceptable to start n tasks of the unit.
-func (p *planner) maxLoss(u unit, n int) float64 {
-	// Estimates may be far too low.
-	runTime := max(p.core.expectedDuration(u.step), p.core.durationStats(u.queue.Name).mean)
-	return maxLossRatio * float64(n) * u.step.spec.Need.CoreEquivalents() * runTime.Seconds()
-}
+// maxLoss returns the loss of work, in core-seconds, that is acceptable to start n tasks of the unit on faster workers.
+func (p *planner) maxLoss(u unit, n int) float64 { return maxLossRatio * p.core.unitWork(&u, n) }
 
-// maxLossRatio is the acceptable loss of work by preemption as a multiple of the preempting unit's work. An urgent job
-// that is late loses most of its value.
+// maxLossRatio is the acceptable loss of work by preemption on faster workers as a multiple of the preempting unit's work.
+// An urgent job that is late loses most of its value.
 const maxLossRatio = 2.0
 
+// stopOverhead is the time that messages and records take in addition to a stop before the capacity is used again.
+const stopOverhead = 100 * time.Millisecond
+
+// stopPreempted stops a task and its gang in favour of a job. All members of the gang count as preempted, so that the gang
+// is spared whichever member the next choice would begin with.
+func (c *Core) stopPreempted(v *task, by *job, now time.Duration) {
+	of := v.step.job()
+	if of.Team != by.Team {
+		klog.InfoS("Team yields accelerators", "team", of.Team, "to", by.Team, "job", of.ID, "for", by.ID,
+			"accelerators", v.step.spec.Need.Accelerators*len(v.stoppedTogether()), "priority", c.queue(of).Priority,
+			"forPriority", c.queue(by).Priority)
+	}
+	c.stats.Preempted++
+	for _, m := range v.stoppedTogether() {
+		m.preemptions++
+		m.preemptedFor = by.Team
+	}
+	c.stopRun(v, LossPreempted, "preempted by "+by.ID, now)
+	c.stopGang(v, LossMemberPreempted, "member preempted", now)
+}
+
+// stoppedTogether returns the running tasks that stop if the task is stopped: itself, or the members of its gang.
+func (t *task) stoppedTogether() []*task {
+	if !t.step.spec.Gang {
+		return []*task{t}
+	}
+	var members []*task
+	for _, m := range t.step.tasks {
+		if m.phase == assigned {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // withinGuarantee reports whether the accelerators of all open urgent jobs of the job's team are within the team's
 // guarantee. Such a job has to start whatever the loss of work.
 func (c *Core) withinGuarantee(of *job) bool {
@@ -174,122 +219,150 @@
 }
 
 // cheapestEviction returns the eviction on the workers of a group that frees capacity for n tasks with the least loss,
-// or nil.
+// or nil. It chooses one slot after the other: the members of a gang that is stopped for one slot are free for the next.
 func (p *planner) cheapestEviction(u unit, group []candidate, need batch.Resources, n int) *eviction {
-	var slots []slot
-	for _, c := range group {
-		slots = append(slots, p.slots(u, c, need, n)...)
+	e := &eviction{}
+	stopped := map[*task]bool{}
+	taken := map[string]int{} // slots chosen on each worker
+	slots := make([]*slot, len(group))
+	for i, c := range group {
+		slots[i] = p.nextSlot(u, c.node, need, stopped, 0)
 	}
-	if u.step.spec.Gang && len(slots) < n || len(slots) == 0 {
-		return nil
+	for len(e.nodes) < n {
+		best := -1
+		for i, sl := range slots {
+			if sl != nil && (best < 0 || sl.cost < slots[best].cost) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		node := group[best].node
+		changed := map[string]bool{node: true}
+		for _, v := range slots[best].victims {
+			for _, m := range v.stoppedTogether() {
+				stopped[m] = true
+				changed[m.node] = true
+			}
+		}
+		e.nodes = append(e.nodes, node)
+		e.victims = append(e.victims, slots[best].victims...)
+		e.cost += slots[best].cost
+		taken[node]++
+		for i, c := range group {
+			if changed[c.node] {
+				slots[i] = p.nextSlot(u, c.node, need, stopped, taken[c.node])
+			}
+		}
 	}
-	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.cost, b.cost) })
-	e := &eviction{}
-	for _, sl := range slots[:min(n, len(slots))] {
-		e.nodes = append(e.nodes, sl.node)
-		e.victims = append(e.victims, sl.victims...)
-		e.cost += sl.cost
+	if u.step.spec.Gang && len(e.nodes) < n || len(e.nodes) == 0 {
+		return nil
 	}
 	return e
 }
 
 // slot is capacity for one task on a worker, and the victims to stop for it in addition to those of the slots before.
 type slot struct {
-	node    string
 	victims []*task
 	cost    float64
 }
 
-// slots returns up to n slots of a worker, the cheapest first. Costs do not decrease within a worker, so that choosing
-// the cheapest slots of all workers never skips a slot that a later one depends on.
-func (p *planner) slots(u unit, c candidate, need batch.Resources, n int) []slot {
-	w := p.core.workers[c.node]
-	free := p.free[c.node]
-	var victims []*task
-	for _, t := range w.sortedTasks() {
-		if p.core.queue(t.step.job()).Priority <= u.queue.Priority {
-			continue
-		}
-		if t.phase == stopping {
+// nextSlot returns the cheapest slot of a worker beside the number of slots that are taken already, or nil if there is
+// none. stopped holds the tasks that are stopped for other slots.
+func (p *planner) nextSlot(u unit, node string, need batch.Resources, stopped map[*task]bool, taken int) *slot {
+	if s := u.step.spec; s.MaxPerWorker > 0 && taken >= s.MaxPerWorker {
+		return nil
+	}
+	if w := p.core.workers[node]; p.coldLimits != nil && w.cold(p.now) && taken >= p.maxAdded(u, w) {
+		return nil
+	}
+	free := p.free[node].Minus(need.Times(taken))
+	type victim struct {
+		*task
+		loss, perCore float64
+	}
+	var victims []victim
+	for t := range p.core.workers[node].tasks {
+		if t.phase == stopping || stopped[t] {
 			free = free.Plus(t.step.spec.Reserved()) // already being freed
 			continue
 		}
-		victims = append(victims, t)
+		if p.mayStop(u, t) {
+			loss := p.loss(t)
+			victims = append(victims, victim{t, loss, loss / max(t.step.spec.Reserved().CoreEquivalents(), 1)})
+		}
 	}
-	cost := func(t *task) float64 { return p.loss(t) / max(t.step.spec.Reserved().CoreEquivalents(), 1) }
-	slices.SortFunc(victims, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(cost(a), cost(b)), a.id.Compare(b.id))
+	if need.FitsIn(free) {
+		return &slot{}
+	}
+	slices.SortFunc(victims, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.perCore, b.perCore), a.id.Compare(b.id))
 	})
-	var slots []slot
-	limit := n
-	if s := u.step.spec; s.MaxPerWorker > 0 {
-		limit = min(limit, s.MaxPerWorker)
-	}
-	if p.coldLimits != nil && w.cold(p.now) {
-		limit = min(limit, p.maxAdded(u, w))
-	}
-	floor := 0.0
-	for len(slots) < limit {
-		sl := slot{node: c.node}
-		for !need.FitsIn(free) && len(victims) > 0 {
-			v := victims[0]
-			victims = victims[1:]
-			free = free.Plus(v.step.spec.Reserved())
-			sl.victims = append(sl.victims, v)
-		}
-		if !need.FitsIn(free) {
-			break
-		}
-		sl.victims, victims, free = trimVictims(sl.victims, victims, free, need)
-		sl.cost = 0
-		for _, v := range sl.victims {
+	var chosen []*task
+	for len(victims) > 0 && !need.FitsIn(free) {
+		chosen, free = append(chosen, victims[0].task), free.Plus(victims[0].step.spec.Reserved())
+		victims = victims[1:]
+	}
+	if !need.FitsIn(free) {
+		return nil
+	}
+	sl := &slot{victims: trimVictims(chosen, free, need)}
+	counted := map[*stepInstance]bool{}
+	for _, v := range sl.victims {
+		if !v.step.spec.Gang || !counted[v.step] {
 			sl.cost += p.loss(v)
 		}
-		free = free.Minus(need)
-		sl.cost = max(sl.cost, floor)
-		floor = sl.cost
-		slots = append(slots, sl)
+		counted[v.step] = true
+	}
+	return sl
+}
+
+// mayStop reports whether a running task may be stopped for the unit. Units that are not of priority 0 stop only work
+// that has checkpoints and was not stopped before, so that nothing but the time to restore it is lost.
+func (p *planner) mayStop(u unit, t *task) bool {
+	if p.core.queue(t.step.job()).Priority <= u.queue.Priority {
+		return false
 	}
-	return slots
+	return u.queue.Priority == 0 || t.step.spec.Checkpoints && t.preemptions == 0 && !t.isolated()
 }
 
-// trimVictims returns the victims without those whose capacity is not needed, starting with the most expensive. It puts
-// the removed ones back in front of the rest.
-func trimVictims(
-	chosen, rest []*task, free, need batch.Resources,
-) (victims, others []*task, remaining batch.Resources) {
+// trimVictims returns the victims without those whose capacity is not needed, starting with the most expensive.
+func trimVictims(chosen []*task, free, need batch.Resources) []*task {
 	for i := len(chosen) - 1; i >= 0; i-- {
 		if without := free.Minus(chosen[i].step.spec.Reserved()); need.FitsIn(without) {
-			rest = append([]*task{chosen[i]}, rest...)
-			chosen = slices.Delete(slices.Clone(chosen), i, i+1)
+			chosen = slices.Delete(chosen, i, i+1)
 			free = without
 		}
 	}
-	return chosen, rest, free
+	return chosen
 }
 
-// loss returns the work in core-seconds that is lost when a task and its gang are stopped.
+// loss returns the work in core-seconds at which a stop of a task and its gang is valued.
 func (p *planner) loss(t *task) float64 {
-	members := []*task{t}
-	if t.step.spec.Gang {
-		members = t.step.tasks
-	}
-	sum := 0.0
-	for _, m := range members {
-		if m.phase != assigned {
-			continue
-		}
+	v := policy.Victim{Gang: t.step.spec.Gang, TeamShare: p.teamShares()[t.step.job().Team]}
+	isolated := 0.0
+	for _, m := range t.stoppedTogether() {
 		ran := p.now - m.startedAt
 		if m.step.spec.Checkpoints { // a stop saves the progress; resuming costs RestoreTime
 			ran = min(ran, p.core.config.RestoreTime)
 		}
-		sum += (ran.Seconds()*m.step.spec.Need.CoreEquivalents() + restartLossCoreSeconds) *
-			(1 + repeatLossFactor*float64(m.preemptions))
+		v.Lost += ran.Seconds()*m.step.spec.Need.CoreEquivalents() + restartLossCoreSeconds
+		v.Remaining = max(v.Remaining, p.core.remainingTime(m, p.now))
+		v.Preemptions = max(v.Preemptions, m.preemptions)
 		if m.isolated() {
-			sum += isolatedLossCoreSeconds
+			isolated += isolatedLossCoreSeconds
 		}
 	}
-	return sum
+	return policy.Loss(&v) + isolated
+}
+
+// teamShares returns the shares of the teams. They are computed once per plan.
+func (p *planner) teamShares() map[string]float64 {
+	if p.shares == nil {
+		p.shares = p.core.teamShares()
+	}
+	return p.shares
 }
 
 // isolatedLossCoreSeconds is the cost of a stop of an isolated task, which has few runs left. It is above what any unit
@@ -298,7 +371,3 @@
 
 // restartLossCoreSeconds is the fixed cost of a restart.
 const restartLossCoreSeconds = 1
-
-// repeatLossFactor increases the loss by this share for each earlier preemption of the task. It spreads preemption over
-// tasks, so that each of them completes.
-const repeatLossFactor = 0.5
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -82,6 +82,8 @@
 	// Avoided lists the nodes on which the task failed or straggled.
 	Avoided []string     `json:"a,omitempty"`
 	Crash   crashHistory `json:"k,omitzero"`
+	// Preempted is the number of stops in favour of other work, after which the task is spared.
+	Preempted int `json:"p,omitempty"`
 	// Node, ID and StartedMS identify the incarnation of the worker that the run is assigned to.
 	Node      string `json:"n,omitempty"`
 	ID        string `json:"i,omitempty"`
@@ -115,7 +117,7 @@
 					continue
 				}
 				rt := recordTask{Index: i, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
-					Avoided: slices.Sorted(maps.Keys(t.failedOn)), Crash: t.crash}
+					Avoided: slices.Sorted(maps.Keys(t.failedOn)), Crash: t.crash, Preempted: t.preemptions}
 				if t.active() {
 					rt.Node, rt.ID, rt.StartedMS = t.node, t.incarnation.ID, t.incarnation.StartedMS
 					rt.StartMS = j.age(t.startedAt).Milliseconds()
@@ -180,7 +182,7 @@
 }
 
 func (t *task) restore(r recordTask, now time.Duration) {
-	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	t.run, t.failures, t.checkpoint, t.preemptions = r.Run, r.Failures, r.Checkpoint, r.Preempted
 	for _, node := range r.Avoided {
 		t.avoid(node)
 	}
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -55,6 +55,7 @@
 			c.observeSpeed(w, t, completePercent, now)
 		}
 		c.recordDuration(t, now)
+		c.recordPrediction(t)
 		c.completeTask(t, now, wall)
 	case e.Outcome == batch.OutcomeFailed:
 		c.countFailure(w, t, now, wall)
@@ -200,6 +201,7 @@
 	}
 	t.node, t.incarnation, t.confirmed, t.missedReports, t.reason = "", batch.Incarnation{}, false, 0, ""
 	t.percent, t.stopSentAt, t.stopAckedAt, t.stopCause, t.checkpointAt = 0, 0, 0, "", 0
+	t.preemptedFor = ""
 }
 
 // stopRun orders a worker to stop a run. The capacity stays reserved until the end of the run is certain. cause is for
--- a/internal/scheduler/speed_preference.go
+++ b/internal/scheduler/speed_preference.go
@@ -176,7 +176,7 @@
 	klog.InfoS("Preempting on faster workers", "job", s.job().ID, "step", s.index, "tasks", n, "nodes", e.nodes,
 		"victims", len(e.victims), "cost", e.cost, "instead", nodes, "maxFactor", preference.maxFactor)
 	s.fasterUntil = p.now + fasterWait
-	p.stopVictims(e.victims, s.job().ID)
+	p.stopVictims(e.victims, s.job())
 	p.core.addClaim(s, &claim{expires: s.fasterUntil, nodes: e.nodes, need: need})
 	return true
 }
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -56,6 +56,7 @@
 	crashConclusive bool
 	runTime         time.Duration // of the successful run
 	preemptions     int           // number of stops in favor of a more urgent task
+	preemptedFor    string        // team for which the run is being stopped; empty for none
 	moves           int           // number of moves away from workers on which the run was slow or stalled
 	remote          bool          // away from its data, or spread over several racks
 	reason          string        // why the run is being stopped
@@ -103,6 +104,7 @@
 	// slowestFactor is the highest relative duration of the workers of the gang's present run, zero if it is not known.
 	slowestFactor float64
 	fasterUntil   time.Duration // until when it waits for faster workers, see waitsForFaster; zero if it has not
+	late          bool          // the last plan judged the waiting tasks as unable to meet the aim
 }
 
 func (s *stepInstance) job() *job { return s.occurrence.job }
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -1,11 +1,11 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/scheduler/policy"
 )
 
 // unit is what a plan handles together: all tasks of a gang, which are placed as a whole, or waiting tasks of a step
@@ -15,6 +15,7 @@
 	tasks       []*task
 	queue       *batch.Queue
 	latestStart time.Duration   // latest start that meets the latency objective
+	demand      policy.Demand   // what the policy knows of the unit
 	guaranteed  bool            // within the guarantee of its team, so that it has to start in time
 	failedOn    map[string]bool // workers on which a task of the unit failed; nil if none
 	lastAttempt bool            // one more failure ends the job
@@ -26,9 +27,10 @@
 	onEmptyWorkers bool
 }
 
-// units returns the units that can be placed, the most urgent first.
+// units returns the units that can be placed, in the order in which package policy places them.
 func (c *Core) units(now time.Duration) []unit {
 	var us []unit
+	shares := c.teamShares()
 	for _, j := range c.openJobs {
 		before := len(us)
 		for n := range j.nextOccurrence {
@@ -44,10 +46,10 @@
 		}
 		j.updateIdleSince(len(us) > before, now)
 	}
-	slices.SortStableFunc(us, func(a, b unit) int {
-		return cmp.Or(cmp.Compare(a.queue.Priority, b.queue.Priority), -compareBool(a.guaranteed, b.guaranteed),
-			cmp.Compare(a.latestStart, b.latestStart))
-	})
+	for i := range us {
+		c.fillDemand(&us[i], shares, now)
+	}
+	slices.SortStableFunc(us, func(a, b unit) int { return c.rules.compare(&a.demand, &b.demand, now) })
 	return us
 }
 
@@ -149,7 +151,7 @@
 		for _, a := range j.Steps[i].After {
 			start = max(start, ends[a])
 		}
-		ends[i] = start + c.scaledEstimate(j, &j.Steps[i])
+		ends[i] = start + c.likelyDuration(j, &j.Steps[i])
 		longest = max(longest, ends[i])
 	}
 	return time.Duration(float64(longest)*q.SlackFactor) + q.TargetLatency
@@ -163,5 +165,5 @@
 			after = max(after, c.longestChain(next))
 		}
 	}
-	return c.expectedDuration(s) + after
+	return c.likelyDuration(s.job(), s.spec) + after
 }
