--- a/internal/hosted/query.go
+++ b/internal/hosted/query.go
@@ -91,7 +91,7 @@
 		return nil, errNoLeader
 	}
 	reply := protocol.CellView{Owner: true, ConfigVersion: state.Catalog.Version, Upstreams: state.Workers,
-		LostCoreSeconds: state.LostCoreSeconds}
+		LostCoreSeconds: state.LostCoreSeconds, YieldedCoreSeconds: state.YieldedCoreSeconds}
 	var finished []model.Job
 	for _, j := range state.Jobs {
 		if j.Job.Outcome != nil {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -344,6 +344,8 @@
 	Upstreams     []UpstreamView `json:"workers,omitempty"`
 	// LostCoreSeconds is the work that was thrown away since the entry began to schedule, by cause.
 	LostCoreSeconds map[string]float64 `json:"lost_core_seconds,omitempty"`
+	// YieldedCoreSeconds is the part of it that each team has lost by preemption for other teams.
+	YieldedCoreSeconds map[string]float64 `json:"yielded_core_seconds,omitempty"`
 	// More is set when another page follows.
 	More bool `json:"more,omitempty"`
 }
--- a/internal/query/grammar.go
+++ b/internal/query/grammar.go
@@ -41,7 +41,7 @@
 }
 
 type showStatement struct {
-	Table string       `parser:"\"show\" @(\"jobs\" | \"workers\" | \"upstreams\" | \"teams\" | \"guarantees\" | \"rules\" | \"entries\" | \"losses\" | \"evacuations\")"`
+	Table string       `parser:"\"show\" @(\"jobs\" | \"workers\" | \"upstreams\" | \"teams\" | \"guarantees\" | \"rules\" | \"entries\" | \"losses\" | \"evacuations\" | \"sharing\")"`
 	Where []*condition `parser:"(\"where\" @@ (\"and\" @@)*)?"`
 	Sort  *sortClause  `parser:"(\"sort\" \"by\" @@)?"`
 	Limit *word        `parser:"(\"limit\" @@)?"`
--- a/internal/query/tables.go
+++ b/internal/query/tables.go
@@ -102,6 +102,13 @@
 		operatorsOnly: true,
 		rows:          entryRows,
 	},
+	"sharing": {
+		columns: []column{
+			textColumn("team"), numberColumn("guaranteed"), numberColumn("within_guarantee"), numberColumn("borrowed"),
+			numberColumn("yielded_core_seconds"),
+		},
+		rows: sharingRows,
+	},
 	"losses": {
 		columns:       []column{textColumn("cause"), numberColumn("core_seconds")},
 		operatorsOnly: true,
@@ -264,6 +271,41 @@
 	return rows
 }
 
+// sharingRows lists for each team the accelerators in use within its guarantee and beyond it, and the work that it has
+// lost by preemption for other teams. Only urgent work is within a guarantee.
+func sharingRows(s *queryScope) [][]Value {
+	var rows [][]Value
+	for _, t := range s.config.Teams {
+		if !s.viewer.canSee(t.Name) {
+			continue
+		}
+		guaranteed := 0
+		for _, g := range s.config.Guarantees {
+			if g.Team == t.Name {
+				guaranteed += g.Shape.Accelerators * g.Count
+			}
+		}
+		within, inUse, yielded := 0, 0, 0.0
+		for i := range s.jobs {
+			r := &s.jobs[i]
+			if r.job.Spec.Key.Team != t.Name || !r.holdsUnits() {
+				continue
+			}
+			inUse += r.job.Spec.Shape.Accelerators
+			if r.job.Guaranteed || s.config.Rule(r.job.Spec.Kind).Class == model.ClassUrgent {
+				within += r.job.Spec.Shape.Accelerators
+			}
+		}
+		within = min(within, guaranteed)
+		for _, e := range s.Entries {
+			yielded += e.YieldedCoreSeconds[t.Name]
+		}
+		rows = append(rows, []Value{textValue(t.Name), numberValue(guaranteed), numberValue(within),
+			numberValue(inUse - within), numberValue(int64(yielded))})
+	}
+	return rows
+}
+
 // acceleratorsInUse returns the number of accelerators that a team's jobs hold in a cell, or in all cells if cell is
 // empty.
 func (s *queryScope) acceleratorsInUse(team, cell string, guaranteedOnly bool) int {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -16,6 +16,7 @@
 	orderLatency tally.Histogram
 	lastStats    Stats
 	lastLostWork map[LossCause]int64 // core-seconds
+	lastYielded  map[string]int64    // core-seconds by team
 }
 
 // latencyBuckets range from a call within a data centre to one that timed out.
@@ -25,12 +26,13 @@
 func NewMetrics(scope tally.Scope) *Metrics {
 	scope = scope.SubScope("scheduler")
 	return &Metrics{scope: scope, writeLatency: scope.Histogram("write_latency", latencyBuckets),
-		orderLatency: scope.Histogram("order_latency", latencyBuckets), lastLostWork: map[LossCause]int64{}}
+		orderLatency: scope.Histogram("order_latency", latencyBuckets), lastLostWork: map[LossCause]int64{},
+		lastYielded: map[string]int64{}}
 }
 
 // startTerm prepares for the counts of a new core, which begin at zero.
 func (m *Metrics) startTerm() {
-	m.lastStats, m.lastLostWork = Stats{}, map[LossCause]int64{}
+	m.lastStats, m.lastLostWork, m.lastYielded = Stats{}, map[LossCause]int64{}, map[string]int64{}
 }
 
 func (m *Metrics) recordWrite(took time.Duration) { m.writeLatency.RecordDuration(took) }
@@ -85,4 +87,11 @@
 		}
 		m.lastLostWork[cause] = now
 	}
+	for team, lost := range c.YieldedWork() {
+		now, before := int64(lost), m.lastYielded[team]
+		if now > before {
+			m.scope.Tagged(map[string]string{"team": team}).Counter("yielded_core_seconds").Inc(now - before)
+		}
+		m.lastYielded[team] = now
+	}
 }
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -197,7 +197,9 @@
 	Catalog *batch.Catalog
 	// LostCoreSeconds is the work that was thrown away in this term, by LossCause.
 	LostCoreSeconds map[string]float64
-	Evacuations     evacuation.Set
+	// YieldedCoreSeconds is the part of it that each team has lost by preemption for other teams.
+	YieldedCoreSeconds map[string]float64
+	Evacuations        evacuation.Set
 	// UnmetGuarantees is the number of guaranteed accelerators by team that have no room outside the evacuated data
 	// centres.
 	UnmetGuarantees map[string]int
@@ -213,7 +215,9 @@
 	defer t.mu.Unlock()
 	v := &View{Catalog: t.core.catalog, LostCoreSeconds: map[string]float64{},
 		Evacuations:     t.core.evacuations.Requests,
-		UnmetGuarantees: t.core.unmetGuarantees()}
+		UnmetGuarantees: t.core.unmetGuarantees(),
+
+		YieldedCoreSeconds: maps.Clone(t.core.YieldedWork())}
 	v.Jobs, v.Workers = t.core.View(boottime.Now(), time.Now())
 	for cause, lost := range t.core.LostWork() {
 		v.LostCoreSeconds[string(cause)] = lost
