--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -41,7 +41,8 @@
 	return float64(n) * u.step.spec.Need.CoreEquivalents() * runTime.Seconds()
 }
 
-// occurrenceWork returns the expected work of all tasks of an occurrence in core-seconds, including those that are done.
+// occurrenceWork returns the expected work of all tasks of an occurrence in core-seconds, including those that are
+// done.
 func (c *Core) occurrenceWork(o *occurrence) float64 {
 	sum := 0.0
 	mean := c.durationStats(o.job.Queue.Name).mean
@@ -52,8 +53,9 @@
 	return sum
 }
 
-// teamShares returns the accelerators in use by each team relative to its fair share: its guarantee and an equal part of
-// what no guarantee covers. Only teams with open jobs count. If the guarantees exceed the fleet they are scaled down.
+// teamShares returns the accelerators in use by each team relative to its fair share: its guarantee and an equal part
+// of what no guarantee covers. Only teams with open jobs count. If the guarantees exceed the fleet they are scaled
+// down.
 func (c *Core) teamShares() map[string]float64 {
 	shares := map[string]float64{}
 	for _, j := range c.openJobs {
--- a/internal/scheduler/forecast.go
+++ b/internal/scheduler/forecast.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// mayClaim reports whether other work may be stopped for n tasks of the unit. Priority 0 may preempt; for other work only
-// tasks are stopped that lose nothing but their restore time, see mayStop.
+// mayClaim reports whether other work may be stopped for n tasks of the unit. Priority 0 may preempt; for other work
+// only tasks are stopped that lose nothing but their restore time, see mayStop.
 func (p *planner) mayClaim(u unit, n int) bool {
 	return u.queue.Priority == 0 || u.step.spec.Gang && !u.suspect && !p.mustKeepHeadroom(u, n)
 }
--- a/internal/scheduler/loads_test.go
+++ b/internal/scheduler/loads_test.go
@@ -18,8 +18,8 @@
 const (
 	loadStep   = 20 * time.Millisecond // resolution of the simulated clock
 	loadReport = 400 * time.Millisecond
-	// loadPlanPause is the pause after a plan for each worker of the fleet, about planPauseFactor times a plan on the larger
-	// entries.
+	// loadPlanPause is the pause after a plan for each worker of the fleet, about planPauseFactor times a plan on the
+	// larger entries.
 	loadPlanPause = 400 * time.Microsecond
 	// loadDrain is the longest time in which all accepted jobs must be done after the last submission.
 	loadDrain = 150 * time.Second
@@ -36,7 +36,8 @@
 	{Name: "surveys", Service: "s", Priority: 2, SlackFactor: 3, TargetLatency: 3 * time.Second}},
 	Teams: []batch.Team{{Name: "a"}, {Name: "b", GuaranteedAccelerators: 60}}}
 
-// loadPattern is a stream of jobs, one of the loads that the policy addresses. Shares are of the capacity of the fleet, by priority.
+// loadPattern is a stream of jobs, one of the loads that the policy addresses. Shares are of the capacity of the fleet,
+// by priority.
 type loadPattern struct {
 	name     string
 	duration time.Duration
@@ -401,8 +402,8 @@
 }
 
 // Earlier rules of the scheduler, with which the policy is compared: within a priority the oldest job first, or the
-// earliest latest start first, also of work that cannot meet its aim any more. Urgent work preempted up to twice its own
-// work, whether or not that was in time for it.
+// earliest latest start first, also of work that cannot meet its aim any more. Urgent work preempted up to twice its
+// own work, whether or not that was in time for it.
 var (
 	firstComeFirstServed = rules{func(a, b *policy.Demand, _ time.Duration) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), -compareBool(a.Guaranteed, b.Guaranteed),
--- a/internal/scheduler/policy/policy.go
+++ b/internal/scheduler/policy/policy.go
@@ -1,5 +1,5 @@
-// Package policy decides which waiting work is placed first when capacity is insufficient, and which work may be stopped
-// for it. Its functions depend on their arguments only.
+// Package policy decides which waiting work is placed first when capacity is insufficient, and which work may be
+// stopped for it. Its functions depend on their arguments only.
 //
 // Work that is delayed should be the work whose delay costs callers least. A result within the aim of its job has its
 // full use, one up to the late limit some use, a later one little. The loads that the rules address: bursts of urgent
@@ -111,8 +111,8 @@
 
 // Compare returns a negative number if a is to be placed before b, a positive one if after. The order is by priority,
 // guarantee and class. Within a class it is by the latest start that meets the aim, or the late limit; between demands
-// that are equally urgent by the work that a start saves, the share of the team, and the exact time. Overdue and starved
-// demands are in the order of their age.
+// that are equally urgent by the work that a start saves, the share of the team, and the exact time. Overdue and
+// starved demands are in the order of their age.
 func Compare(a, b *Demand, now time.Duration) int {
 	class := ClassOf(a, now)
 	if c := cmp.Or(cmp.Compare(effectivePriority(a, now), effectivePriority(b, now)),
@@ -144,8 +144,8 @@
 }
 
 // savingGrade grades the work in time that a start saves per core-second: the work of the whole job over the work still
-// to be placed, in powers of two. A job that is nearly done precedes one that has just begun, whatever their sizes. Work
-// shorter than the grain has grade 0, since waiting for it makes nobody late.
+// to be placed, in powers of two. A job that is nearly done precedes one that has just begun, whatever their sizes.
+// Work shorter than the grain has grade 0, since waiting for it makes nobody late.
 func (d *Demand) savingGrade() int {
 	if d.Remaining < d.grain() || d.Work <= 0 || d.JobWork <= d.Work {
 		return 0
--- a/internal/scheduler/policy/policy_test.go
+++ b/internal/scheduler/policy/policy_test.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// Guards against stops that do not let the requesting unit meet its aim, and against stops before a release that is due.
+// Guards against stops that do not let the requesting unit meet its aim, and against stops before a release that is
+// due.
 func TestAcceptableLoss(t *testing.T) {
 	base := demand(5*second, 2*second)
 	base.Priority = 0
--- a/internal/scheduler/policy/preempt.go
+++ b/internal/scheduler/policy/preempt.go
@@ -20,8 +20,8 @@
 	// restoreLossRatio applies to demands that are not of priority 0. The caller restricts their victims to work that
 	// loses no more than its restore time.
 	restoreLossRatio = 0.25
-	// safeSlackShare is the share of its slack that a demand may wait for a release. Estimates are off by up to a factor of
-	// 2, and other urgent work may take the capacity first.
+	// safeSlackShare is the share of its slack that a demand may wait for a release. Estimates are off by up to a
+	// factor of 2, and other urgent work may take the capacity first.
 	safeSlackShare = 0.25
 )
 
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -22,8 +22,8 @@
 // claimTimeout limits the life of a claim. Stopping takes less time, and after the timeout the unit may claim again.
 const claimTimeout = 1500 * time.Millisecond
 
-// expireClaims removes claims that have timed out and those of finished jobs. Capacity on workers that take no new tasks
-// any more is removed from the others, so that their units claim elsewhere at once.
+// expireClaims removes claims that have timed out and those of finished jobs. Capacity on workers that take no new
+// tasks any more is removed from the others, so that their units claim elsewhere at once.
 func (c *Core) expireClaims(now time.Duration) {
 	for s, cl := range c.claims {
 		cl.nodes = slices.DeleteFunc(cl.nodes, func(node string) bool {
@@ -78,8 +78,8 @@
 }
 
 // preempt stops less urgent tasks so that n tasks of the unit fit, or as many as possible if they start independently.
-// It chooses the workers with the least loss of work, among those on which the unit makes its aim if possible. It returns
-// nil if it stops nothing.
+// It chooses the workers with the least loss of work, among those on which the unit makes its aim if possible. It
+// returns nil if it stops nothing.
 func (p *planner) preempt(u unit, n int) *claim {
 	s := u.step
 	need := s.spec.Reserved()
@@ -135,15 +135,15 @@
 // maxLoss returns the loss of work, in core-seconds, that is acceptable to start n tasks of the unit on faster workers.
 func (p *planner) maxLoss(u unit, n int) float64 { return maxLossRatio * p.core.unitWork(&u, n) }
 
-// maxLossRatio is the acceptable loss of work by preemption on faster workers as a multiple of the preempting unit's work.
-// An urgent job that is late loses most of its value.
+// maxLossRatio is the acceptable loss of work by preemption on faster workers as a multiple of the preempting unit's
+// work. An urgent job that is late loses most of its value.
 const maxLossRatio = 2.0
 
 // stopOverhead is the time that messages and records take in addition to a stop before the capacity is used again.
 const stopOverhead = 100 * time.Millisecond
 
-// stopPreempted stops a task and its gang in favour of a job. All members of the gang count as preempted, so that the gang
-// is spared whichever member the next choice would begin with.
+// stopPreempted stops a task and its gang in favour of a job. All members of the gang count as preempted, so that the
+// gang is spared whichever member the next choice would begin with.
 func (c *Core) stopPreempted(v *task, by *job, now time.Duration) {
 	of := v.step.job()
 	if of.Team != by.Team {
@@ -219,7 +219,8 @@
 }
 
 // cheapestEviction returns the eviction on the workers of a group that frees capacity for n tasks with the least loss,
-// or nil. It chooses one slot after the other: the members of a gang that is stopped for one slot are free for the next.
+// or nil. It chooses one slot after the other: the members of a gang that is stopped for one slot are free for the
+// next.
 func (p *planner) cheapestEviction(u unit, group []candidate, need batch.Resources, n int) *eviction {
 	e := &eviction{}
 	stopped := map[*task]bool{}
--- a/internal/scheduler/scarcity_test.go
+++ b/internal/scheduler/scarcity_test.go
@@ -31,8 +31,8 @@
 
 const scarceJob = "00000000000000e1"
 
-// Guards against stops for work that is of little use by then, and against loss of work for other than urgent work: only
-// the time to restore a checkpoint may be lost for it.
+// Guards against stops for work that is of little use by then, and against loss of work for other than urgent work:
+// only the time to restore a checkpoint may be lost for it.
 func TestStopsOnlyWhatIsWorthwhile(t *testing.T) {
 	whole := batch.Resources{Accelerators: 8}
 	long := batch.Step{Count: 1, Estimate: 100 * time.Second, Need: whole}
@@ -65,9 +65,9 @@
 	}
 }
 
-// Guards against stops on other workers while the members of a gang that was stopped for one slot leave room for the next,
-// and against a count of stops that other members of the gang or the next leader do not know: the gang would be stopped
-// again and again. The team that yields must be visible.
+// Guards against stops on other workers while the members of a gang that was stopped for one slot leave room for the
+// next, and against a count of stops that other members of the gang or the next leader do not know: the gang would be
+// stopped again and again. The team that yields must be visible.
 func TestGangIsStoppedOnceAndSpared(t *testing.T) {
 	f := newFixture(t, "a", "b", "c", "d")
 	need := batch.Resources{Accelerators: 8}
