rulecheck: accept the delayed start of a member of a partial gang

The log shows that the order of the gang's second member was delayed by a fault for over 300 ms, while its first member worked alone and ended as done. Workers of the platform hold back the members until all have started, so that the end of one proves the starts of all; those of the soak do not, which is why partial gangs are allowed there. Ruled out: a second order, the leader sent one for run 1.

Change: where partial gangs are allowed, the first start of a member in the very run that another member has completed is no violation. Another run, and a second start in the same run, still are.

Result: three new cases pass; the other tests of the package as before.

--- a/internal/rulecheck/checker.go
+++ b/internal/rulecheck/checker.go
@@ -77,6 +77,7 @@
 	cells                map[string]string        // data centres of the workers
 	evacuatedAt          map[string]time.Duration // by data centre, while the request is in force
 	partialGangs         bool                     // members of a gang may complete although others have not started
+	completedGangRuns    map[batch.TaskID]bool    // by gangRunID
 	violations           []string
 }
 
@@ -110,7 +111,7 @@
 		acknowledged: map[batch.TaskID]bool{}, acknowledgedFailures: map[batch.TaskID]int{},
 		failures: map[batch.TaskID]int{}, crashes: map[batch.TaskID]int{}, crashesUnder: map[batch.TaskID]int{}, startsAfterCrashes: map[batch.TaskID]int{},
 		cancelledAt: map[string]time.Duration{}, keyRemovedAt: map[string]time.Duration{}, cells: map[string]string{},
-		evacuatedAt: map[string]time.Duration{}}
+		evacuatedAt: map[string]time.Duration{}, completedGangRuns: map[batch.TaskID]bool{}}
 }
 
 // Violations returns a line for each violation, with its time and the rule's name.
@@ -251,7 +252,7 @@
 			c.AddViolation(at, "TWICE: %v run %d starts on %s while run %d is running on %s", task, run, name, running, other)
 		}
 	}
-	if c.IsTaskCompleted(task, at) {
+	if c.IsTaskCompleted(task, at) && !c.isDelayedMember(task, run) {
 		c.AddViolation(at, "TWICE: %v run %d starts on %s after the task has completed", task, run, name)
 	}
 	if n := c.failureCount(task); !step.LongRunning && c.limits.MaxAttempts > 0 && n >= c.limits.MaxAttempts {
@@ -277,6 +278,14 @@
 	c.startedMembers[id][task.Index] = struct{}{}
 }
 
+// isDelayedMember reports whether a start is that of a gang's member whose order was delayed until another member of the
+// same run had completed. It happens only where workers do not hold back members until all have started.
+func (c *Checker) isDelayedMember(task batch.TaskID, run int) bool {
+	id := gangRunID(task, run)
+	_, started := c.startedMembers[id][task.Index]
+	return c.partialGangs && c.completedGangRuns[id] && !started
+}
+
 // gangRunID identifies a run of a whole gang: the id of a member with the run number in place of its index.
 func gangRunID(task batch.TaskID, run int) batch.TaskID {
 	task.Index = run
@@ -302,6 +311,7 @@
 	if step.LongRunning {
 		return // it is started again however it ends
 	}
+	c.completedGangRuns[gangRunID(task, run)] = step.Gang
 	for _, m := range c.gangTasks(task) {
 		c.completed[m] = true
 	}
--- a/internal/rulecheck/checker_test.go
+++ b/internal/rulecheck/checker_test.go
@@ -14,6 +14,7 @@
 	a := batch.TaskID{Job: "j", Step: 0}
 	b := batch.TaskID{Job: "j", Step: 1}
 	gang := batch.TaskID{Job: "g"}
+	otherMember := batch.TaskID{Job: "g", Index: 1}
 	wide := batch.TaskID{Job: "c"}
 	cases := map[string]struct {
 		rule   string // empty if no violation is expected
@@ -127,6 +128,25 @@
 			c.EvacuationWithdrawn("z")
 			start(c, "w", a, 1, 7)
 		}},
+		"delayed member of a partial gang": {"", func(c *Checker) {
+			c.AllowPartialGangs()
+			start(c, "w", gang, 1, 0)
+			done(c, gang)
+			start(c, "v", otherMember, 1, 1)
+		}},
+		"another run of a completed gang": {"TWICE", func(c *Checker) {
+			c.AllowPartialGangs()
+			start(c, "w", gang, 1, 0)
+			done(c, gang)
+			start(c, "v", otherMember, 2, 1)
+		}},
+		"member of a gang that was complete": {"TWICE", func(c *Checker) {
+			c.AllowPartialGangs()
+			start(c, "w", gang, 1, 0)
+			start(c, "v", otherMember, 1, 0)
+			done(c, gang)
+			start(c, "v", otherMember, 1, 1)
+		}},
 		"partial gang":                {"GANG", func(c *Checker) { start(c, "w", gang, 1, 0); done(c, gang) }},
 		"refused":                     {"REFUSED", func(c *Checker) { start(c, "w", a, 1, 0); c.JobRefused("j", 1) }},
 		"lost":                        {"LOST", func(c *Checker) { c.FinalStateReported("j", batch.Running, false, 1) }},
