scheduler: the last attempt goes to workers on which starts succeed

Change: a unit on its last attempt prefers workers on which a run that started within the last 5 s has outlived its start, and none has failed since.

Result: the new test fails without the change and passes with it; the tests of attempts and crashes pass.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -292,7 +292,9 @@
 // noteSurvivor clears a task of crashes, and its worker of doubt, after its run has been seen to last.
 func (c *Core) noteSurvivor(w *worker, t *task, r Report) {
 	lasted := r.SentAt - t.startedAt
-	w.healthy = w.healthy || lasted > startupTime
+	if lasted > startupTime {
+		w.healthy, w.provenAt = true, max(w.provenAt, t.startedAt)
+	}
 	if lasted > startupTime && t.suspect() {
 		t.crash.SuspectedCrashes, t.crash.Suspected, t.step.job().dirty = nil, false, true
 	}
--- a/internal/scheduler/estimates.go
+++ b/internal/scheduler/estimates.go
@@ -119,6 +119,15 @@
 	c.quarantine(w, "runs fail", now)
 }
 
+// provenTime is how long a run that has outlived its start speaks for its worker. Workers that begin to fail do so with
+// each start, while runs in progress go on.
+const provenTime = 5 * time.Second
+
+// proven reports whether starts have recently succeeded on the worker, and no run has failed there since.
+func (w *worker) proven(now time.Duration) bool {
+	return w.failedJobs == 0 && w.healthy && now-w.provenAt <= provenTime
+}
+
 // quarantine excludes a worker from new tasks for quarantineTime, unless too many workers are quarantined already.
 func (c *Core) quarantine(w *worker, reason string, now time.Duration) {
 	quarantined := 0
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -138,7 +138,8 @@
 		if cand.fitCount <= 0 && !includeFull {
 			continue
 		}
-		cand.avoided = u.failedOn[w.node]
+		// One more failure ends the job, so the last attempt goes to a worker on which starts are known to succeed.
+		cand.avoided = u.failedOn[w.node] || u.lastAttempt && !w.proven(p.now)
 		if u.suspect {
 			cand.workAtRisk = p.workAtRisk(w)
 		}
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -308,6 +308,29 @@
 	}
 }
 
+// Guards against a last attempt on a worker that has begun to fail whatever starts on it, and on which no run has failed yet:
+// urgent jobs with two attempts were lost to two such workers within 300 ms. The last attempt goes to a worker on which a
+// run has just outlived its start, although another is the tighter fit.
+func TestLastAttemptPrefersProvenWorker(t *testing.T) {
+	f := newFixture(t, "a", "b", "c")
+	f.accelerators = map[string]int{"b": 1}
+	f.reportEverywhere(0)
+	f.submit("0000000000000001", 2, 0, batch.Step{Count: 1, Estimate: time.Minute, Need: batch.Resources{Accelerators: 8}})
+	f.planAndCommit(0)
+	proven := f.c.jobs["0000000000000001"].findTask(batch.TaskID{Job: "0000000000000001"}).node
+	f.accelerators[proven] = 16 // has room beside the run
+	at := startupTime + 100*time.Millisecond
+	f.reportEverywhere(at)
+	f.submit("0000000000000002", 1, at, batch.Step{Count: 1, Estimate: time.Second, Need: batch.Resources{Accelerators: 1}})
+	last := f.c.jobs["0000000000000002"].findTask(batch.TaskID{Job: "0000000000000002"})
+	last.failures = simQueue(1).MaxAttempts - 1
+	last.avoid("other")
+	f.planAndCommit(at + planInterval)
+	if last.node != proven {
+		t.Errorf("the last attempt starts on %q, want %s, where a run has outlived its start", last.node, proven)
+	}
+}
+
 // The last attempt of a gang that needs all workers uses all of them, even those on which it has failed. Otherwise it
 // could never start.
 func TestLastAttemptOfAGangThatNeedsAllWorkers(t *testing.T) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -23,6 +23,7 @@
 	downSince      time.Duration // since when the worker does not answer its agent, or never
 	lastDownAt     time.Duration // the last time that downSince was set, or never
 	healthy        bool          // a run has outlived its start on the current incarnation
+	provenAt       time.Duration // start of the latest run that has outlived its start on the current incarnation
 	agentFollows   bool          // the agent has answered this leader, and rejects calls of previous ones
 	reached        bool          // this leader has received a report of the current incarnation
 	deregistered   bool          // the current incarnation has announced its end
@@ -287,7 +288,7 @@
 		w.reached, w.deregistered, w.lastEnd, w.recordedEnd, w.ackedEnd, w.workerClockMS, w.reportedAt =
 			false, false, 0, 0, 0, 0, 0
 		w.failedJobs, w.quarantinedUntil, w.announcedAt = 0, 0, now
-		w.orphaned, w.largest, w.healthy = batch.Resources{}, info.Capacity, false
+		w.orphaned, w.largest, w.healthy, w.provenAt = batch.Resources{}, info.Capacity, false, 0
 		c.forgetSpeed(w)
 		c.planNeeded = true
 		return
