--- a/internal/scheduler/loads_test.go
+++ b/internal/scheduler/loads_test.go
@@ -68,7 +68,7 @@
 			return got.inTime[2] > other.inTime[2] && got.inTime[1] >= other.inTime[1]
 		}},
 	// A team that takes more than its share: team a submits several times what the fleet can do.
-	{name: "greedy-team", duration: 10 * time.Second, shares: [3]float64{0.06, 4, 0.1}, shareA: 0.85,
+	{name: "team-over-share", duration: 10 * time.Second, shares: [3]float64{0.06, 4, 0.1}, shareA: 0.85,
 		better: func(got, other *loadSum) bool { return got.inTimeOfB > other.inTimeOfB }},
 	// Callers that return at the same time, after an outage: twenty seconds of the fleet's work at once.
 	{name: "returning-callers", duration: 8 * time.Second, shares: [3]float64{0.08, 0.35, 0.3}, shareA: 0.5,
--- a/internal/scheduler/policy/policy.go
+++ b/internal/scheduler/policy/policy.go
@@ -64,7 +64,8 @@
 	lateMarginShare = 0.25
 	// startGrain is the difference between latest starts below which demands count as equally urgent, a fifth of the slack
 	// of a gang of 7 s. Work that takes longer, on the same capacity, is late if it has to wait for the other. With 500 ms
-	// the share of the teams had no effect: a modest team had 61 jobs in time beside a greedy one instead of 73.
+	// the share of the teams had no effect: beside a team that uses more than its share, another one had 61 jobs in time
+	// instead of 73.
 	startGrain = 3 * time.Second
 	// urgentStartGrain is the same for priority 0, about the slack of an urgent job of 2.3 s.
 	urgentStartGrain = 1500 * time.Millisecond
