intake: confirm requests to evacuate within any bound

Cause (found by reading): the long poll waits for 1 s, and what is known of the requests permits starts for the bound less 0.5 s. With a bound below about 2 s the permission would end between two confirmations.

Change: the poll waits for a quarter of the bound at most; with the bound of 5 s of all known deployments it waits for 1 s as before. Some lines are wrapped.

--- a/internal/intake/catalog.go
+++ b/internal/intake/catalog.go
@@ -34,6 +34,17 @@
 	EvacuationPrefix string
 	// CommonPrefix is a prefix of all of them. It is used if EvacuationPrefix is set.
 	CommonPrefix string
+	// EvacuationBound is the time from a request after which nothing may start. Requests are confirmed more often than that.
+	EvacuationBound time.Duration
+}
+
+// pollWait returns the wait of one long poll. What is known of the requests permits starts for less than the bound, so that
+// several confirmations have to fit into it.
+func (k OperatorKeys) pollWait() time.Duration {
+	if k.EvacuationPrefix == "" {
+		return catalogPollWait
+	}
+	return min(catalogPollWait, k.EvacuationBound/4)
 }
 
 // watched returns the prefix of all watched keys.
@@ -153,7 +164,7 @@
 // poll makes one long poll for changes after a revision and returns the revision to continue from.
 func (w *CatalogWatcher) poll(ctx context.Context, since kvstore.Revision) (kvstore.Revision, error) {
 	sent := boottime.Now()
-	events, revision, err := w.store.Watch(ctx, w.keys.watched(), since, catalogPollWait)
+	events, revision, err := w.store.Watch(ctx, w.keys.watched(), since, w.keys.pollWait())
 	if err != nil {
 		return 0, err
 	}
--- a/internal/intake/evacuation_test.go
+++ b/internal/intake/evacuation_test.go
@@ -11,7 +11,8 @@
 	"masticcart.example/masticcart/internal/kvstore/memstore"
 )
 
-var evacuationKeys = OperatorKeys{Configuration: "op/config", EvacuationPrefix: "op/evacuate/", CommonPrefix: "op/"}
+var evacuationKeys = OperatorKeys{Configuration: "op/config", EvacuationPrefix: "op/evacuate/", CommonPrefix: "op/",
+	EvacuationBound: 2 * time.Second}
 
 // newEvacuationWatcher returns a watcher that does not run, so that a test decides what it reads and when.
 func newEvacuationWatcher(store kvstore.Store) *CatalogWatcher {
@@ -113,3 +114,21 @@
 		t.Errorf("confirmed at %v after a failed poll, want %v", at, confirmed)
 	}
 }
+
+// TestPollWaitFitsIntoTheBound guards against a short bound under which the permission to start ends between two
+// confirmations, so that nothing starts most of the time.
+func TestPollWaitFitsIntoTheBound(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		keys OperatorKeys
+		want time.Duration
+	}{
+		{OperatorKeys{Configuration: "op/config"}, catalogPollWait},
+		{evacuationKeys, 500 * time.Millisecond},
+		{OperatorKeys{EvacuationPrefix: "e/", EvacuationBound: time.Minute}, catalogPollWait},
+	} {
+		if got := c.keys.pollWait(); got != c.want {
+			t.Errorf("%+v: wait %v, want %v", c.keys, got, c.want)
+		}
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -121,7 +121,8 @@
 func New(store kvstore.Store, catalogs *CatalogWatcher, leader LeaderClient, settings Settings) *Service {
 	return &Service{store: store, catalogs: catalogs, leader: leader, settings: settings,
 		metrics: newMetrics(settings.Scope), stored: make(chan kvstore.Entry, storedQueueLength),
-		loadNeeded: make(chan struct{}, 1), unresolved: unresolvedJobs{attempts: map[string]time.Duration{}, overflowAt: -unresolvedRetention}}
+		loadNeeded: make(chan struct{}, 1),
+		unresolved: unresolvedJobs{attempts: map[string]time.Duration{}, overflowAt: -unresolvedRetention}}
 }
 
 // storedQueueLength bounds the stored entries that the leader has yet to be notified of.
--- a/internal/scheduler/packing.go
+++ b/internal/scheduler/packing.go
@@ -21,7 +21,8 @@
 }
 
 // compare orders candidates for filling: those without failures of the step first, then those with the least work at
-// risk, then those of the preferred speed, then the one with the least capacity left over, so that large free blocks are preserved.
+// risk, then those of the preferred speed, then the one with the least capacity left over, so that large free blocks are
+// preserved.
 func (a candidate) compare(b candidate, need batch.Resources) int {
 	if a.avoided != b.avoided {
 		if a.avoided {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -160,8 +160,8 @@
 	}
 	var cs []candidate
 	for _, w := range p.core.sortedWorkers {
-		if w.info == nil || w.deregistered || w.info.Leaving || p.core.evacuated(w) || u.failedOn[w.node] || w.info.Service != u.queue.Service ||
-			!w.info.HasLabel(s.RequiredLabel) {
+		if w.info == nil || w.deregistered || w.info.Leaving || p.core.evacuated(w) || u.failedOn[w.node] ||
+			w.info.Service != u.queue.Service || !w.info.HasLabel(s.RequiredLabel) {
 			continue
 		}
 		fitCount := need.FitCount(w.info.Capacity)
