scheduler: fall back to other workers if faster ones cost too much; one place for shared rules

Cause (found by reading the change again): - Preemption chose faster workers up to a loss of twice the work of the unit, which may exceed what the policy accepts; it then stopped nothing, although the loss on other workers would have been acceptable. - The late limit of three objectives stood in three packages, the order of booleans in three places. The shares of the teams were computed twice in a plan, and the loss of each chosen victim twice.

Change: the policy decides whether the faster workers are taken. batch.LateFactor, policy.CompareBool, planner.shares and the loss that is kept with a victim replace the copies.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -11,9 +11,6 @@
 	"masticcart.example/masticcart/internal/batch"
 )
 
-// LateFactor times the latency objective of a job is its late limit, after which its result is of little use.
-const LateFactor = 3
-
 // Job is what the decision depends on of a submitted job.
 type Job struct {
 	ID       string
@@ -63,7 +60,7 @@
 	}
 	chain := j.Chain.Seconds() * ratio
 	objective := j.SlackFactor*chain + j.TargetLatency.Seconds()
-	limit := LateFactor * objective
+	limit := batch.LateFactor * objective
 	d := Decision{Wait: f.Wait, Chain: duration(chain), Limit: duration(limit)}
 	known := f.Age >= 0 && f.Age <= maxAge && f.Wait > 0
 	applies := f.Need.FitsIn(j.Need) && duration(objective-chain)+rounding >= f.LatestStart
--- a/internal/batch/catalog.go
+++ b/internal/batch/catalog.go
@@ -23,6 +23,9 @@
 	Public bool `json:"public,omitempty"`
 }
 
+// LateFactor times the latency objective of a job is its late limit, after which its result is of little use.
+const LateFactor = 3
+
 // Service is a set of workers that run the same kind of task.
 type Service struct {
 	Name string `json:"name"`
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -124,7 +124,7 @@
 	f.submit(capacityJob, 1, time.Second, batch.Step{Count: 1, Estimate: time.Minute, DataRack: "r",
 		Need: batch.Resources{Accelerators: 4}})
 	p := f.c.newPlanner(time.Second)
-	us := f.c.units(time.Second)
+	us := p.units()
 	if len(us) != 1 || p.mayRunRemote(us[0], 1) {
 		t.Errorf("%d units; the task may run remote at once", len(us))
 	}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/scheduler/policy"
 )
 
@@ -24,7 +25,7 @@
 	aim := c.objective(j)
 	remaining := accepted + aim - u.latestStart
 	u.demand = policy.Demand{Priority: u.queue.Priority, Guaranteed: u.guaranteed, AcceptedAt: accepted,
-		Aim: accepted + aim, LateLimit: accepted + policy.LateFactor*aim, Remaining: remaining,
+		Aim: accepted + aim, LateLimit: accepted + batch.LateFactor*aim, Remaining: remaining,
 		Work: c.unitWork(u, len(u.tasks)), JobWork: c.occurrenceWork(s.occurrence), Team: j.Team,
 		TeamShare: shares[j.Team], WasLate: s.late}
 	if s.spec.LongRunning { // has no end that could be late
--- a/internal/scheduler/late_runs_test.go
+++ b/internal/scheduler/late_runs_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -127,3 +128,38 @@
 		t.Errorf("started on %v after the wait, want a and b", started)
 	}
 }
+
+// Guards against an urgent task that stops nothing because the loss on faster workers is too large for the policy, although
+// the loss on others is acceptable.
+func TestPreemptionFallsBackToOtherWorkers(t *testing.T) {
+	f := newFixture(t, "a", "b", "c", "d")
+	f.learnSpeeds("a", "b")
+	urgent := simQueue(0)
+	urgent.SlackFactor, urgent.TargetLatency = 1.2, 200*time.Millisecond
+	f.c.SetCatalog(&batch.Catalog{Version: 2, Queues: []batch.Queue{urgent, simQueue(1), simQueue(2)}})
+	full := batch.Resources{Accelerators: 8}
+	long := batch.Step{Count: 2, Estimate: 100 * time.Second, Need: full}
+	// The runs on c and d lose 231 core-seconds, those on a and b 26, of 128 that the urgent task needs.
+	f.c.workers["a"].quarantinedUntil, f.c.workers["b"].quarantinedUntil = 4*time.Second, 4*time.Second
+	for _, at := range []time.Duration{time.Second, 4200 * time.Millisecond} {
+		for _, n := range f.nodes {
+			f.report(n, at, f.c.reportedRuns(n, 1)...)
+		}
+		f.submit(fmt.Sprintf("00000000000000d%d", at/time.Second), 2, at, long)
+		f.planAndCommit(at)
+	}
+	at := 4600 * time.Millisecond
+	for _, n := range f.nodes {
+		f.report(n, at, f.c.reportedRuns(n, 2)...)
+	}
+	f.submit(speedJob, 0, at, batch.Step{Count: 1, Estimate: 2 * time.Second, Need: full})
+	stopped := []string{}
+	for _, o := range f.planAndCommit(at) {
+		if o.Kind == OrderStop {
+			stopped = append(stopped, o.Node)
+		}
+	}
+	if len(stopped) != 1 || stopped[0] != "a" && stopped[0] != "b" {
+		t.Errorf("stopped on %v, want a or b", stopped)
+	}
+}
--- a/internal/scheduler/loads_test.go
+++ b/internal/scheduler/loads_test.go
@@ -406,11 +406,11 @@
 // own work, whether or not that was in time for it.
 var (
 	firstComeFirstServed = rules{func(a, b *policy.Demand, _ time.Duration) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), -compareBool(a.Guaranteed, b.Guaranteed),
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), -policy.CompareBool(a.Guaranteed, b.Guaranteed),
 			cmp.Compare(a.AcceptedAt, b.AcceptedAt))
 	}, preemptUpToTwiceTheWork}
 	byLatestStart = rules{func(a, b *policy.Demand, _ time.Duration) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), -compareBool(a.Guaranteed, b.Guaranteed),
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), -policy.CompareBool(a.Guaranteed, b.Guaranteed),
 			cmp.Compare(a.Aim-a.Remaining, b.Aim-b.Remaining))
 	}, preemptUpToTwiceTheWork}
 )
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -30,7 +30,7 @@
 	for _, cl := range c.claims {
 		p.withholdClaim(cl) // others must not use capacity that is being freed for a step
 	}
-	for _, u := range c.units(now) {
+	for _, u := range p.units() {
 		p.place(u)
 	}
 	p.restartLateRuns()
@@ -45,7 +45,7 @@
 	p := &planner{core: c, now: now, free: map[string]batch.Resources{}, capacities: map[string]*serviceCapacity{},
 		reservedFrom: map[string]time.Duration{}, noFit: map[shape]time.Duration{}, fitsNear: map[shape]bool{},
 		withheld: map[string]batch.Resources{}, startingOn: map[string]bool{}, isolatedOn: map[string]bool{},
-		coldLimits: c.coldLimits(now)}
+		coldLimits: c.coldLimits(now), shares: c.teamShares()}
 	for _, w := range c.sortedWorkers {
 		if w.usable(now) && !c.evacuated(w) {
 			p.addWorker(w)
@@ -75,7 +75,7 @@
 	headroom float64
 	// coldLimits holds by service the most runs that a cold worker may have; nil for no limit.
 	coldLimits map[string]int
-	shares     map[string]float64 // of the teams; nil until teamShares is called
+	shares     map[string]float64 // of the teams, at the start of the plan
 }
 
 // place assigns a unit, or claims or reserves capacity for it.
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -259,7 +259,7 @@
 				for _, cl := range f.c.claims {
 					p.withholdClaim(cl)
 				}
-				for _, u := range f.c.units(now) {
+				for _, u := range p.units() {
 					clear(p.noFit)
 					clear(p.fitsNear)
 					p.place(u)
--- a/internal/scheduler/policy/policy.go
+++ b/internal/scheduler/policy/policy.go
@@ -51,8 +51,6 @@
 func (c Class) String() string { return [...]string{"starved", "in time", "late", "overdue"}[c] }
 
 const (
-	// LateFactor is the late limit as a multiple of the aim, both counted from acceptance.
-	LateFactor = 3
 	// StarvationFactor is the longest wait for a place ahead of the own class, as a multiple of the time from acceptance
 	// to the late limit: six aims. Others with something left to lose are preferred for as long as the caller still had
 	// use of a late result, and once more as long. The bound is in proportion to what the caller expected, so that it
@@ -117,7 +115,7 @@
 func Compare(a, b *Demand, now time.Duration) int {
 	class := ClassOf(a, now)
 	if c := cmp.Or(cmp.Compare(effectivePriority(a, now), effectivePriority(b, now)),
-		-compareBool(a.Guaranteed, b.Guaranteed), cmp.Compare(class, ClassOf(b, now))); c != 0 {
+		-CompareBool(a.Guaranteed, b.Guaranteed), cmp.Compare(class, ClassOf(b, now))); c != 0 {
 		return c
 	}
 	grain := a.grain() // equal to that of b: no other priority counts as 0
@@ -157,8 +155,8 @@
 // shareGrade is the share of the team in units of shareGrain.
 func (d *Demand) shareGrade() int { return int(d.TeamShare / shareGrain) }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
+// CompareBool orders false before true.
+func CompareBool(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/internal/scheduler/policy/policy_test.go
+++ b/internal/scheduler/policy/policy_test.go
@@ -4,13 +4,15 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"masticcart.example/masticcart/internal/batch"
 )
 
 const second = time.Second
 
 // demand returns a demand of priority 1 that was accepted at 0.
 func demand(aim, remaining time.Duration) Demand {
-	return Demand{Priority: 1, Aim: aim, LateLimit: LateFactor * aim, Remaining: remaining, Work: 100, JobWork: 100}
+	return Demand{Priority: 1, Aim: aim, LateLimit: batch.LateFactor * aim, Remaining: remaining, Work: 100, JobWork: 100}
 }
 
 // Guards against each rule of the order being lost or overruled by a lower one.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -93,14 +93,10 @@
 	if faster, differ := fastEnough(groups); differ {
 		best = p.bestEviction(u, faster, need, n)
 	}
-	if best == nil || len(best.nodes) < n || best.cost > p.maxLoss(u, n) {
+	if best == nil || len(best.nodes) < n || !p.mayEvict(&u, best, freeAt) {
 		best = p.bestEviction(u, groups, need, n)
 	}
-	if best == nil {
-		return nil
-	}
-	u.demand.Work = p.core.unitWork(&u, len(best.nodes))
-	if !p.core.rules.mayPreempt(&u.demand, best.cost, freeAt, p.now) {
+	if best == nil || !p.mayEvict(&u, best, freeAt) {
 		return nil
 	}
 	cl := &claim{expires: p.now + claimTimeout, nodes: best.nodes, need: need}
@@ -112,6 +108,12 @@
 	return cl
 }
 
+// mayEvict reports whether the loss of an eviction is acceptable for the work that fits into it.
+func (p *planner) mayEvict(u *unit, e *eviction, freeAt time.Duration) bool {
+	u.demand.Work = p.core.unitWork(u, len(e.nodes))
+	return p.core.rules.mayPreempt(&u.demand, e.cost, freeAt, p.now)
+}
+
 // stopVictims stops tasks, and their gangs, in favor of a job.
 func (p *planner) stopVictims(victims []*task, by *job) {
 	for _, v := range victims {
@@ -269,6 +271,12 @@
 	cost    float64
 }
 
+// victim is a running task that may be stopped, with the loss of its gang in total and per core of the task.
+type victim struct {
+	*task
+	loss, perCore float64
+}
+
 // nextSlot returns the cheapest slot of a worker beside the number of slots that are taken already, or nil if there is
 // none. stopped holds the tasks that are stopped for other slots.
 func (p *planner) nextSlot(u unit, node string, need batch.Resources, stopped map[*task]bool, taken int) *slot {
@@ -279,10 +287,6 @@
 		return nil
 	}
 	free := p.free[node].Minus(need.Times(taken))
-	type victim struct {
-		*task
-		loss, perCore float64
-	}
 	var victims []victim
 	for t := range p.core.workers[node].tasks {
 		if t.phase == stopping || stopped[t] {
@@ -300,19 +304,19 @@
 	slices.SortFunc(victims, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.perCore, b.perCore), a.id.Compare(b.id))
 	})
-	var chosen []*task
-	for len(victims) > 0 && !need.FitsIn(free) {
-		chosen, free = append(chosen, victims[0].task), free.Plus(victims[0].step.spec.Reserved())
-		victims = victims[1:]
+	chosen := 0
+	for ; chosen < len(victims) && !need.FitsIn(free); chosen++ {
+		free = free.Plus(victims[chosen].step.spec.Reserved())
 	}
 	if !need.FitsIn(free) {
 		return nil
 	}
-	sl := &slot{victims: trimVictims(chosen, free, need)}
+	sl := &slot{}
 	counted := map[*stepInstance]bool{}
-	for _, v := range sl.victims {
+	for _, v := range trimVictims(victims[:chosen], free, need) {
+		sl.victims = append(sl.victims, v.task)
 		if !v.step.spec.Gang || !counted[v.step] {
-			sl.cost += p.loss(v)
+			sl.cost += v.loss
 		}
 		counted[v.step] = true
 	}
@@ -329,7 +333,7 @@
 }
 
 // trimVictims returns the victims without those whose capacity is not needed, starting with the most expensive.
-func trimVictims(chosen []*task, free, need batch.Resources) []*task {
+func trimVictims(chosen []victim, free, need batch.Resources) []victim {
 	for i := len(chosen) - 1; i >= 0; i-- {
 		if without := free.Minus(chosen[i].step.spec.Reserved()); need.FitsIn(without) {
 			chosen = slices.Delete(chosen, i, i+1)
@@ -341,7 +345,7 @@
 
 // loss returns the work in core-seconds at which a stop of a task and its gang is valued.
 func (p *planner) loss(t *task) float64 {
-	v := policy.Victim{Gang: t.step.spec.Gang, TeamShare: p.teamShares()[t.step.job().Team]}
+	v := policy.Victim{Gang: t.step.spec.Gang, TeamShare: p.shares[t.step.job().Team]}
 	isolated := 0.0
 	for _, m := range t.stoppedTogether() {
 		ran := p.now - m.startedAt
@@ -358,14 +362,6 @@
 	return policy.Loss(&v) + isolated
 }
 
-// teamShares returns the shares of the teams. They are computed once per plan.
-func (p *planner) teamShares() map[string]float64 {
-	if p.shares == nil {
-		p.shares = p.core.teamShares()
-	}
-	return p.shares
-}
-
 // isolatedLossCoreSeconds is the cost of a stop of an isolated task, which has few runs left. It is above what any unit
 // may cost that is not within a guarantee.
 const isolatedLossCoreSeconds = 1e6
--- a/internal/scheduler/queue_wait.go
+++ b/internal/scheduler/queue_wait.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"masticcart.example/masticcart/internal/admission"
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/scheduler/queuewait"
 )
@@ -112,7 +111,7 @@
 // appendDemands appends the tasks of a job that can start once there is capacity. Jobs past their late limit are left
 // out, since they may be placed after others.
 func (c *Core) appendDemands(s *queuewait.Snapshot, j *job, q *batch.Queue, now time.Duration) {
-	lateLimit := admission.LateFactor * c.objective(j)
+	lateLimit := batch.LateFactor * c.objective(j)
 	for n := range j.nextOccurrence {
 		o := j.occurrences[n]
 		if o == nil || lateLimit > 0 && o.age(now) > lateLimit {
--- a/internal/scheduler/relocation/relocation.go
+++ b/internal/scheduler/relocation/relocation.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/scheduler/policy"
 )
 
 const (
@@ -107,13 +108,7 @@
 	}
 	slices.SortStableFunc(indexes, func(i, j int) int {
 		a, b := &units[i], &units[j]
-		if a.Guaranteed != b.Guaranteed {
-			if a.Guaranteed {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Loss, b.Loss))
+		return cmp.Or(-policy.CompareBool(a.Guaranteed, b.Guaranteed), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Loss, b.Loss))
 	})
 	return indexes
 }
--- a/internal/scheduler/speed_preference.go
+++ b/internal/scheduler/speed_preference.go
@@ -34,8 +34,6 @@
 	// durationMargin is the factor by which tasks of a step take longer than the expected ones; they differ by 15 to 30
 	// %.
 	durationMargin = 1.15
-	// lateLimitFactor times the aim is how late a result is of some use.
-	lateLimitFactor = 3
 )
 
 // speedPreference ranks the workers of a service for a unit.
@@ -67,7 +65,7 @@
 		pref.maxFactor = 0
 		return pref
 	}
-	slack += time.Duration(float64(p.core.objective(s.job())) * (lateLimitFactor - 1))
+	slack += time.Duration(float64(p.core.objective(s.job())) * (batch.LateFactor - 1))
 	pref.maxFactor = max(maxFactor(expected, slack), tracker.Fastest())
 	return pref
 }
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -28,9 +28,9 @@
 }
 
 // units returns the units that can be placed, in the order in which package policy places them.
-func (c *Core) units(now time.Duration) []unit {
+func (p *planner) units() []unit {
+	c, now := p.core, p.now
 	var us []unit
-	shares := c.teamShares()
 	for _, j := range c.openJobs {
 		before := len(us)
 		for n := range j.nextOccurrence {
@@ -47,7 +47,7 @@
 		j.updateIdleSince(len(us) > before, now)
 	}
 	for i := range us {
-		c.fillDemand(&us[i], shares, now)
+		c.fillDemand(&us[i], p.shares, now)
 	}
 	slices.SortStableFunc(us, func(a, b unit) int { return c.rules.compare(&a.demand, &b.demand, now) })
 	return us
@@ -63,17 +63,6 @@
 	}
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // appendUnit appends what can be placed of a step. A gang is one unit. Other tasks form separate units if they are on
 // their last attempt, since they avoid workers on which they have failed, or are suspect or isolated.
 func (c *Core) appendUnit(us []unit, s *stepInstance, now time.Duration) []unit {
@@ -109,7 +98,7 @@
 	if s.spec.Gang && (len(groups) == 0 || len(groups[0].tasks) < s.spec.Count) {
 		return us
 	}
-	slices.SortStableFunc(groups, func(a, b unit) int { return -compareBool(a.lastAttempt, b.lastAttempt) })
+	slices.SortStableFunc(groups, func(a, b unit) int { return -policy.CompareBool(a.lastAttempt, b.lastAttempt) })
 	for _, g := range groups {
 		g.failedOn = failedOn(g.tasks)
 		us = append(us, g)
