relay: a worker's last ends are reported before its end

Cause: the agent threw away an answer of the worker when something else was to be reported: a deregistration, the announcement of another incarnation or of a change, or the end of the leader's connection. A worker lists ends again until they are acknowledged, but not after the end of its process, so the last answer has no repetition. The leader then took the run as lost, since the address refused connections.

Ruled out: that the leader is too fast. A longer wait before a deregistered worker counts as gone would only move the limit of the delay, and the next leader would still not know the end.

Change: a call that lists runs is never cancelled; the agent retains listed ends by incarnation until a leader has recorded and acknowledged them, and reports them before anything by which the runs could count as lost; it reports the end of a process once all calls to it have ended. A wait that should end early is answered by a second call without a wait.

--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -39,6 +39,8 @@
 	// AckedThrough is the number of the last ended run that the leader has recorded. Ended runs up to it need not be
 	// returned again.
 	AckedThrough int64 `json:"forget"`
+	// AckedEnds acknowledges the ended runs of earlier incarnations, which the agent has retained.
+	AckedEnds []EndAck `json:"forget_retained,omitempty"`
 	// WaitMS is how long the response may wait for a run to end.
 	WaitMS int64 `json:"wait,omitempty"`
 	// Sequence is that of the last announcement that the leader has received. The response omits the announcement if it
@@ -49,6 +51,18 @@
 	Speed *Speed `json:"speed,omitempty"`
 }
 
+// EndAck acknowledges the ended runs of one incarnation of a worker up to a number.
+type EndAck struct {
+	Incarnation batch.Incarnation `json:"life"`
+	Through     int64             `json:"through"`
+}
+
+// IncarnationEnds lists ended runs of one incarnation of a worker in the order of their numbers.
+type IncarnationEnds struct {
+	Incarnation batch.Incarnation `json:"life"`
+	Ended       []batch.EndedTask `json:"ended"`
+}
+
 // Speed is the estimated speed of one incarnation of a worker.
 type Speed struct {
 	Incarnation batch.Incarnation `json:"life"`
@@ -66,7 +80,11 @@
 	// Runs is nil if the worker did not answer; Error then has the reason.
 	Runs  *batch.Runs `json:"runs,omitempty"`
 	Error string      `json:"problem,omitempty"`
-	// NotListening means that the worker's address refuses connections: no worker process is there.
+	// RetainedEnds lists the unacknowledged ended runs that incarnations of the worker have listed before and that are not
+	// in Runs. They apply before anything else in the response: without them the runs would be taken as lost.
+	RetainedEnds []IncarnationEnds `json:"retained,omitempty"`
+	// NotListening means that the worker's address refuses connections: no worker process is there, and all calls to it
+	// are answered or have failed.
 	NotListening bool `json:"no_listener,omitempty"`
 	// Speed is the last estimate that a leader has sent for the incarnation that the agent serves, nil for none.
 	Speed *Speed `json:"speed,omitempty"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,8 +45,9 @@
 	orderTimeout = 400 * time.Millisecond
 	// syncRunsMargin is how long a call of SyncRuns may take in addition to its wait.
 	syncRunsMargin = 600 * time.Millisecond
-	// confirmTimeout bounds the calls by which announced incarnations are confirmed. A sync call may confirm twice, within
-	// the time in which the leader expects its answer.
+	// syncMargin is how long a sync call may take in addition to its wait. The leader allows 200 ms more.
+	syncMargin = time.Second
+	// confirmTimeout bounds the calls by which announced incarnations are confirmed. A sync call may confirm twice.
 	confirmTimeout = 200 * time.Millisecond
 	// maxUnconfirmed is the number of incarnations whose announcements wait for their confirmation.
 	maxUnconfirmed = 4
@@ -63,11 +64,15 @@
 	deregistered  batch.Incarnation // has announced its end and not announced itself since; zero for none
 	speed         *Speed            // the last estimate of a leader; nil for none
 	workerChanged chan struct{}     // closed and replaced when the worker restarts, leaves or changes its capacity
+	ends          retainedEnds
+	openCalls     map[batch.Incarnation]int // calls of listRuns in progress, by the incarnation that they are addressed to
+	callEnded     chan struct{}             // closed and replaced when one of them ends
 }
 
 // New returns the relay of the worker behind the driver.
 func New(driver Driver) *Relay {
-	return &Relay{driver: driver, workerChanged: make(chan struct{})}
+	return &Relay{driver: driver, workerChanged: make(chan struct{}), openCalls: map[batch.Incarnation]int{},
+		callEnded: make(chan struct{})}
 }
 
 // Handlers returns the RPC methods that the relay serves to the leader.
@@ -133,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	for _, w := range slices.Backward(unconfirmed) {
-		runs, err := r.driver.SyncRuns(ctx, w.Incarnation, fence, 0, 0, 0)
+		runs, err := r.listRuns(ctx, runsQuery{incarnation: w.Incarnation, fence: fence}, nil)
 		switch {
 		case errors.Is(err, ErrOtherWorker), err == nil && runs.Incarnation != w.Incarnation:
 			klog.InfoS("Dropped announcement of an incarnation that is not the worker", "worker", w.Incarnation,
@@ -211,40 +216,33 @@
 		return SyncResponse{}, err
 	}
 	r.mu.Lock()
-	workerChanged := r.workerChanged
-	r.mu.Unlock()
-	r.confirmWorker(ctx, req.Fence)
-	r.mu.Lock()
-	known := r.worker
 	if req.Speed != nil {
 		r.speed = req.Speed
 	}
-	r.mu.Unlock()
-	wait := time.Duration(req.WaitMS) * time.Millisecond
-	incarnation := req.Incarnation // a restarted agent uses the leader's until the worker announces itself
-	if known != nil {
-		incarnation = known.Incarnation
-	}
-	if incarnation == (batch.Incarnation{}) {
-		return SyncResponse{Error: "the worker has not announced itself"}, nil
-	}
-	if incarnation != req.Incarnation {
-		wait = 0
+	for _, ack := range append(req.AckedEnds, EndAck{req.Incarnation, req.AckedThrough}) {
+		r.ends.acknowledge(ack)
 	}
-	runs, err := r.syncRuns(ctx, req, incarnation, wait, workerChanged)
-	if errors.Is(err, errWorkerChanged) {
-		r.confirmWorker(ctx, req.Fence)
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.WaitMS)*time.Millisecond+syncMargin)
+	defer cancel()
+	runs, err := r.syncRuns(ctx, req)
+	// On learning that an incarnation has ended, the leader takes its runs as lost, except those whose ends are reported.
+	if (err == nil || errors.Is(err, ErrNotListening)) && !r.awaitAnswers(ctx, runs.Incarnation) {
+		runs, err = batch.Runs{}, errInterrupted
 	}
-	response := SyncResponse{}
-	switch {
-	case errors.Is(err, errWorkerChanged): // the announcement is the response
-	case err != nil:
+	return r.response(req, runs, err), nil
+}
+
+// response returns the response to a SyncRequest with the result of syncRuns.
+func (r *Relay) response(req SyncRequest, runs batch.Runs, err error) SyncResponse {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	response := SyncResponse{RetainedEnds: r.ends.unlisted(runs.Incarnation)}
+	if err != nil {
 		response.Error, response.NotListening = err.Error(), errors.Is(err, ErrNotListening)
-	default:
+	} else {
 		response.Runs = &runs
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.worker != nil {
 		if r.worker.Incarnation != req.Incarnation || r.worker.Sequence > req.Sequence {
 			response.Worker = r.worker
@@ -254,43 +252,63 @@
 			response.Speed = r.speed
 		}
 	}
-	return response, nil
+	return response
 }
 
-// errWorkerChanged means that the wait for a run to end was cut short by an announcement.
-var errWorkerChanged = merry.Sentinel("relay: the worker has announced a change")
+// errNotAnnounced means that neither the worker nor the leader has named an incarnation.
+var errNotAnnounced = merry.Sentinel("relay: the worker has not announced itself")
 
-// syncRuns asks the worker for its runs. The wait ends early, with errWorkerChanged, when workerChanged is closed.
-func (r *Relay) syncRuns(ctx context.Context, req SyncRequest, incarnation batch.Incarnation, wait time.Duration,
-	workerChanged <-chan struct{}) (batch.Runs, error) {
-	ctx, cancelTimeout := context.WithTimeout(ctx, wait+syncRunsMargin)
-	defer cancelTimeout()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+// syncRuns asks the worker for its runs. A wait for a run to end is cut short when the worker changes; the worker is then
+// asked again without a wait.
+func (r *Relay) syncRuns(ctx context.Context, req SyncRequest) (batch.Runs, error) {
+	r.mu.Lock()
+	workerChanged := r.workerChanged
+	r.mu.Unlock()
+	incarnation := r.identifyWorker(ctx, req)
+	if incarnation == (batch.Incarnation{}) {
+		return batch.Runs{}, errNotAnnounced
+	}
+	query := r.queryFor(incarnation, req)
 	if incarnation != req.Incarnation {
-		return r.driver.SyncRuns(ctx, incarnation, req.Fence, 0, 0, 0)
-	}
-	if wait > 0 {
-		stop := make(chan struct{})
-		defer close(stop)
-		go func() {
-			select {
-			case <-workerChanged:
-				cancel(errWorkerChanged)
-			case <-stop:
-			}
-		}()
-	}
-	runs, err := r.driver.SyncRuns(ctx, incarnation, req.Fence, req.AckedThrough, req.LeaseUntilMS, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errWorkerChanged) {
-		return runs, errWorkerChanged
-	}
-	if err == nil && runs.Incarnation != incarnation {
-		klog.InfoS("Worker answered as another incarnation", "worker", runs.Incarnation, "known", incarnation)
+		return r.listRuns(ctx, query, nil)
+	}
+	waiting := query
+	if waiting.wait = time.Duration(req.WaitMS) * time.Millisecond; waiting.wait == 0 {
+		workerChanged = nil
+	}
+	runs, err := r.listRuns(ctx, waiting, workerChanged)
+	if errors.Is(err, errInterrupted) && ctx.Err() == nil {
+		query = r.queryFor(r.identifyWorker(ctx, req), req)
+		runs, err = r.listRuns(ctx, query, nil)
+	}
+	if err == nil && runs.Incarnation != query.incarnation {
+		klog.InfoS("Worker answered as another incarnation", "worker", runs.Incarnation, "known", query.incarnation)
 	}
 	return runs, err
 }
 
+// queryFor returns the query to an incarnation, without a wait. Only the incarnation that the leader knows gets the
+// acknowledgement and the lease.
+func (r *Relay) queryFor(incarnation batch.Incarnation, req SyncRequest) runsQuery {
+	q := runsQuery{incarnation: incarnation, fence: req.Fence}
+	if incarnation == req.Incarnation {
+		q.ackedThrough, q.leaseUntilMS = req.AckedThrough, req.LeaseUntilMS
+	}
+	return q
+}
+
+// identifyWorker returns the incarnation that the worker was last confirmed to be. A restarted agent takes the leader's
+// until the worker announces itself.
+func (r *Relay) identifyWorker(ctx context.Context, req SyncRequest) batch.Incarnation {
+	r.confirmWorker(ctx, req.Fence)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.worker == nil {
+		return req.Incarnation
+	}
+	return r.worker.Incarnation
+}
+
 func (r *Relay) start(ctx context.Context, conn *rpc.Conn, req StartRequest) (OrderResponse, error) {
 	return r.executeOrder(ctx, conn, req.Term, req.Incarnation, func(ctx context.Context) (batch.Verdict, error) {
 		return r.driver.Start(ctx, req)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,6 +18,7 @@
 	starts       int
 	waiting      chan struct{} // closed when SyncRuns waits for a run to end; nil if nobody waits for that
 	err          error         // of SyncRuns
+	ended        []batch.EndedTask
 }
 
 func (d *fakeDriver) SyncRuns(ctx context.Context, _ batch.Incarnation, _, ackedThrough, lease int64,
@@ -33,7 +34,7 @@
 		<-ctx.Done()
 		return batch.Runs{}, ctx.Err()
 	}
-	return batch.Runs{Incarnation: d.incarnation, ClockMS: 5}, nil
+	return batch.Runs{Incarnation: d.incarnation, ClockMS: 5, Ended: d.ended}, nil
 }
 
 func (d *fakeDriver) Start(context.Context, StartRequest) (batch.Verdict, error) {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -301,7 +301,7 @@
 // NextBatch returns the next batch of at most limit changes, or nil if there is nothing to write. Several batches may
 // be in flight: a job in one of them is not part of another.
 func (c *Core) NextBatch(limit int) (*WriteBatch, error) {
-	b := &WriteBatch{acks: map[string]endAck{}}
+	b := &WriteBatch{}
 	complete := true
 	for _, j := range c.allJobs {
 		if !j.dirty {
@@ -325,9 +325,7 @@
 	}
 	if complete { // ended runs of jobs that are left out must not be acknowledged yet
 		for _, w := range c.sortedWorkers {
-			if w.lastEnd > w.recordedEnd {
-				b.acks[w.node] = endAck{w.incarnation(), w.lastEnd}
-			}
+			b.acks = w.appendUnrecordedEnds(b.acks)
 		}
 	}
 	if len(b.Changes) == 0 && len(b.acks) == 0 {
@@ -387,9 +385,9 @@
 // batch, since acknowledgements are cumulative.
 func (c *Core) ackRecordedEnds() {
 	for len(c.inFlight) > 0 && c.inFlight[0].committed {
-		for node, ack := range c.inFlight[0].acks {
-			if w := c.workers[node]; w != nil && ack.incarnation == w.incarnation() {
-				w.recordedEnd = max(w.recordedEnd, ack.end)
+		for _, ack := range c.inFlight[0].acks {
+			if w := c.workers[ack.node]; w != nil {
+				w.noteRecordedEnds(ack)
 			}
 		}
 		c.inFlight = c.inFlight[1:]
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -42,14 +42,15 @@
 // they are committed.
 type WriteBatch struct {
 	Changes []RecordChange
-	// orders and acks are for the workers; acks are by node.
+	// orders and acks are for the workers.
 	orders    []Order
-	acks      map[string]endAck
+	acks      []endAck
 	committed bool
 }
 
-// endAck is the highest number of an ended run of a worker's incarnation that is recorded.
+// endAck is the highest number of an ended run that is recorded of an incarnation of the worker on a node.
 type endAck struct {
+	node        string
 	incarnation batch.Incarnation
 	end         int64
 }
@@ -64,7 +65,9 @@
 	Worker       *batch.Worker     // nil if there is no new announcement
 	Deregistered batch.Incarnation // has announced its end; zero for none
 	Runs         *batch.Runs       // nil if the agent did not get them
-	WorkerDown   bool              // the worker did not answer the agent
+	// RetainedEnds are ends that the agent has retained and that are not in Runs.
+	RetainedEnds []relay.IncarnationEnds
+	WorkerDown   bool // the worker did not answer the agent
 	// NotListening means that no worker process listens at the worker's address.
 	NotListening bool
 	Speed        *relay.Speed // that the agent keeps for the worker; nil for none
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -9,28 +9,31 @@
 	"masticcart.example/masticcart/internal/batch"
 )
 
-// applyEnds applies the ended runs of a report in their order. Runs that were applied before are skipped.
-func (c *Core) applyEnds(w *worker, ended []batch.EndedTask, now time.Duration, wall time.Time) {
+// applyEnds applies the ended runs that an incarnation of a worker has listed, in their order. Those up to the number
+// applied were applied before. It returns the number of the last one.
+func (c *Core) applyEnds(w *worker, incarnation batch.Incarnation, ended []batch.EndedTask, applied int64,
+	now time.Duration, wall time.Time) int64 {
 	for _, e := range ended {
-		if e.Number <= w.lastEnd {
+		if e.Number <= applied {
 			continue
 		}
-		w.lastEnd = e.Number
+		applied = e.Number
 		j := c.jobs[e.Task.Job]
 		if j == nil {
 			continue
 		}
 		t := j.findTask(e.Task)
-		if t == nil || t.run != e.Run || !t.active() || t.node != w.node || t.incarnation != w.info.Incarnation {
+		if t == nil || t.run != e.Run || !t.active() || t.node != w.node || t.incarnation != incarnation {
 			klog.V(1).InfoS("Ignored end of a superseded run", "task", e.Task, "run", e.Run, "node", w.node,
 				"how", e.Outcome)
 			continue
 		}
-		klog.InfoS("Run ended", "task", e.Task, "run", e.Run, "node", w.node, "worker", w.info.Incarnation,
+		klog.InfoS("Run ended", "task", e.Task, "run", e.Run, "node", w.node, "worker", incarnation,
 			"how", e.Outcome, "number", e.Number, "cores", t.step.spec.Need.CoreEquivalents(),
 			"tookMs", (now - t.startedAt).Milliseconds(), "checkpoint", e.Checkpoint, "reason", t.reason)
 		c.applyEnd(w, t, e, now, wall)
 	}
+	return applied
 }
 
 func (c *Core) applyEnd(w *worker, t *task, e batch.EndedTask, now time.Duration, wall time.Time) {
@@ -51,7 +54,7 @@
 		c.stopGang(t, LossRestarted, "member ended", now)
 	case e.Outcome == batch.OutcomeDone:
 		w.failedJobs = 0
-		if !t.step.spec.Gang { // a member of a gang waits for the others
+		if !t.step.spec.Gang && t.incarnation == w.incarnation() { // a member of a gang waits for the others
 			c.observeSpeed(w, t, completePercent, now)
 		}
 		c.recordDuration(t, now)
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -173,7 +173,7 @@
 	t.mu.Lock()
 	incarnation, sequence, ack := t.core.SyncParameters(s.node, sentAt)
 	request := relay.SyncRequest{Term: t.term.Number, Fence: t.fence(s.node), Incarnation: incarnation,
-		Sequence: sequence, AckedThrough: ack, Speed: t.core.SpeedForAgent(s.node)}
+		Sequence: sequence, AckedThrough: ack, AckedEnds: t.core.EarlierAcks(s.node), Speed: t.core.SpeedForAgent(s.node)}
 	if t.term.Valid() {
 		if until, ok := t.core.GrantLease(s.node, incarnation); ok {
 			request.LeaseUntilMS, request.WaitMS = until, t.core.ReportWait(s.node).Milliseconds()
@@ -190,7 +190,7 @@
 	defer t.mu.Unlock()
 	t.core.ApplyReport(Report{Node: s.node, SentAt: sentAt, ReceivedAt: boottime.Now(), AckedThrough: ack,
 		Worker: response.Worker, Deregistered: response.Deregistered, Runs: response.Runs,
-		WorkerDown: response.Error != "", NotListening: response.NotListening, Speed: response.Speed}, time.Now())
+		RetainedEnds: response.RetainedEnds, WorkerDown: response.Error != "", NotListening: response.NotListening, Speed: response.Speed}, time.Now())
 	if t.core.planNeeded || len(t.core.outbox) > 0 {
 		t.wakeLoop()
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -29,7 +29,9 @@
 	deregistered   bool          // the current incarnation has announced its end
 	lastEnd        int64         // number of the last ended run that was applied
 	// recordedEnd is the number of the last ended run that is recorded and may be acknowledged.
-	recordedEnd  int64
+	recordedEnd int64
+	// earlierEnds holds the progress of earlier incarnations whose ended runs the agent still retains.
+	earlierEnds  map[batch.Incarnation]*endProgress
 	ackedEnd     int64         // number of the last ended run that was acknowledged to the current incarnation
 	reportSentAt time.Duration // when the request of the last report was sent
 	// epoch counts the restarts of the worker that this leader has seen. It is part of the fencing token, since a
@@ -59,7 +61,7 @@
 	w := c.workers[node]
 	if w == nil {
 		w = &worker{node: node, tasks: map[*task]struct{}{}, leaseExpiresBy: c.startedAt + c.inheritedLease(node),
-			orphanStops: map[string]time.Duration{}, downSince: never,
+			orphanStops: map[string]time.Duration{}, earlierEnds: map[batch.Incarnation]*endProgress{}, downSince: never,
 			lastDownAt: never, speedClass: speed.Unknown}
 		w.leaseExpiresBy = max(w.leaseExpiresBy, now)
 		c.workers[node] = w
@@ -197,6 +199,7 @@
 		w.agentFollows = true
 		w.leaseExpiresBy = min(w.leaseExpiresBy, r.ReceivedAt+maxLeaseTime(c.config.MaxLease))
 	}
+	c.applyRetainedEnds(w, r, wall)
 	if r.Worker != nil {
 		c.updateWorker(w, r.Worker, r.ReceivedAt)
 	}
@@ -228,7 +231,7 @@
 	w.reached, w.downSince, w.replaced = true, never, nil
 	w.reportSentAt, w.workerClockMS, w.reportedAt = r.SentAt, r.Runs.ClockMS, r.ReceivedAt
 	c.restoreSpeed(w, r.Speed, r.ReceivedAt)
-	c.applyEnds(w, r.Runs.Ended, r.ReceivedAt, wall)
+	w.lastEnd = c.applyEnds(w, r.Runs.Incarnation, r.Runs.Ended, w.lastEnd, r.ReceivedAt, wall)
 	c.reconcileRuns(w, r)
 }
 
@@ -277,6 +280,7 @@
 		c.updateCold(w, info, now)
 	}
 	if before != nil && before.Incarnation != info.Incarnation {
+		w.earlierEnds[before.Incarnation] = &endProgress{applied: w.lastEnd, recorded: w.recordedEnd}
 		w.epoch++
 		if w.replaced == nil {
 			w.replaced = &endedIncarnation{before.Incarnation, w.downSince, before.Leaving || w.deregistered, w.healthy}
