scheduler: nothing waits for a worker that is gone

Seen by callers: LOST.

Cause: a task on its last attempt avoids the workers on which it failed while it would fit elsewhere, and a worker that was announced once counted as elsewhere for ever. The rule that starts a job which has had nothing running for 2 s looked for workers under the same restriction.

Ruled out: a limit on the time for which a last attempt avoids a worker. Where the other workers are only busy, the wait is worth it: one more failure fails the job.

Change: one predicate, expectsTasks, leaves out workers that have been silent for over 5 s. It serves the last attempt, the fit near a task's data, the shares of teams, of quarantine and of mass crashes, and the report on guarantees; the forecast of waits had it before as a rule of its own. Capacity of long-running tasks is no room elsewhere. A job that must start at once avoids no worker.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -131,7 +131,7 @@
 			n++
 		}
 	}
-	return n >= minMassCrash && float64(n) > massCrashShare*float64(len(c.workers))
+	return n >= minMassCrash && float64(n) > massCrashShare*float64(c.expectedWorkers(downSince))
 }
 
 // crashes returns the number of workers that crashed with a run of the task, whatever the cause.
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -57,7 +57,7 @@
 // teamShares returns the accelerators in use by each team relative to its fair share: its guarantee and an equal part
 // of what no guarantee covers. Only teams with open jobs count. If the guarantees exceed the fleet they are scaled
 // down.
-func (c *Core) teamShares() map[string]float64 {
+func (c *Core) teamShares(now time.Duration) map[string]float64 {
 	shares := map[string]float64{}
 	for _, j := range c.openJobs {
 		if j.Team != "" {
@@ -69,7 +69,7 @@
 	}
 	total := 0
 	for _, w := range c.sortedWorkers {
-		if w.info != nil && !w.deregistered && !c.evacuated(w) {
+		if c.expectsTasks(w, now) {
 			total += w.info.Capacity.Accelerators
 		}
 		for t := range w.tasks {
--- a/internal/scheduler/estimates.go
+++ b/internal/scheduler/estimates.go
@@ -132,11 +132,11 @@
 func (c *Core) quarantine(w *worker, reason string, now time.Duration) {
 	quarantined := 0
 	for _, o := range c.sortedWorkers {
-		if o != w && now < o.quarantinedUntil {
+		if o != w && now < o.quarantinedUntil && c.expectsTasks(o, now) {
 			quarantined++
 		}
 	}
-	if float64(quarantined+1) > maxQuarantinedShare*float64(len(c.workers)) {
+	if float64(quarantined+1) > maxQuarantinedShare*float64(c.expectedWorkers(now)) {
 		klog.InfoS("Worker not quarantined", "node", w.node, "worker", w.incarnation(), "reason", reason,
 			"out", quarantined)
 		return
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -62,14 +62,14 @@
 
 // noteMissingGuarantees notes by how many accelerators the guarantees of all teams exceed what the data centres hold that
 // are not evacuated. It reports a change.
-func (c *Core) noteMissingGuarantees() {
+func (c *Core) noteMissingGuarantees(now time.Duration) {
 	missing, guaranteed, available := 0, 0, 0
 	if len(c.evacuations.Requests.Requests()) > 0 {
 		for i := range c.catalog.Teams {
 			guaranteed += c.catalog.Teams[i].GuaranteedAccelerators
 		}
 		for _, w := range c.sortedWorkers {
-			if w.info != nil && !w.info.Leaving && !w.deregistered && !c.evacuated(w) {
+			if c.expectsTasks(w, now) {
 				available += w.info.Capacity.Accelerators
 			}
 		}
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -69,9 +69,9 @@
 		u.isolated && (len(w.tasks) > 0 || p.startingOn[w.node])
 }
 
-// relaxed returns the unit without the conditions on the other runs of its workers.
+// relaxed returns the unit without the conditions on the other runs of its workers and on former failures there.
 func (u unit) relaxed(now time.Duration) unit {
-	u.anywhere, u.isolated, u.apartUntil = true, false, now
+	u.anywhere, u.isolated, u.apartUntil, u.lastAttempt = true, false, now, false
 	return u
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -34,7 +34,7 @@
 		p.place(u)
 	}
 	p.restartLateRuns()
-	c.noteMissingGuarantees()
+	c.noteMissingGuarantees(now)
 	if len(c.evacuations.Requests.Requests()) > 0 {
 		p.relocate()
 	}
@@ -45,7 +45,7 @@
 	p := &planner{core: c, now: now, free: map[string]batch.Resources{}, capacities: map[string]*serviceCapacity{},
 		reservedFrom: map[string]time.Duration{}, noFit: map[shape]time.Duration{}, fitsNear: map[shape]bool{},
 		withheld: map[string]batch.Resources{}, startingOn: map[string]bool{}, isolatedOn: map[string]bool{},
-		coldLimits: c.coldLimits(now), shares: c.teamShares()}
+		coldLimits: c.coldLimits(now), shares: c.teamShares(now)}
 	for _, w := range c.sortedWorkers {
 		if w.usable(now) && !c.evacuated(w) {
 			p.addWorker(w)
@@ -151,7 +151,8 @@
 	return cs
 }
 
-// fitsElsewhere reports whether the unit would fit on workers without a failure of its tasks if they were empty.
+// fitsElsewhere reports whether the unit would fit on workers without a failure of its tasks once all runs there have
+// ended, except those that have no end.
 func (p *planner) fitsElsewhere(u unit) bool {
 	s := u.step.spec
 	need, n := s.Reserved(), 1
@@ -160,11 +161,11 @@
 	}
 	var cs []candidate
 	for _, w := range p.core.sortedWorkers {
-		if w.info == nil || w.deregistered || w.info.Leaving || p.core.evacuated(w) || u.failedOn[w.node] ||
-			w.info.Service != u.queue.Service || !w.info.HasLabel(s.RequiredLabel) {
+		if !p.core.expectsTasks(w, p.now) || u.failedOn[w.node] || w.info.Service != u.queue.Service ||
+			!w.info.HasLabel(s.RequiredLabel) {
 			continue
 		}
-		fitCount := need.FitCount(w.info.Capacity)
+		fitCount := need.FitCount(w.info.Capacity.Minus(w.longRunning()))
 		if s.MaxPerWorker > 0 {
 			fitCount = min(fitCount, s.MaxPerWorker)
 		}
@@ -270,8 +271,7 @@
 	s := u.step.spec
 	empty := map[string]batch.Resources{}
 	for _, w := range p.core.sortedWorkers {
-		if w.info != nil && !w.deregistered && (s.DataRack == "" || w.info.Rack == s.DataRack) && !w.info.Leaving &&
-			!p.core.evacuated(w) {
+		if p.core.expectsTasks(w, p.now) && (s.DataRack == "" || w.info.Rack == s.DataRack) {
 			empty[w.node] = w.largest
 		}
 	}
--- a/internal/scheduler/queue_wait.go
+++ b/internal/scheduler/queue_wait.go
@@ -30,8 +30,6 @@
 	// minForecastTerm is how long a leader leads before it forecasts waits. Until then it does not know all workers, and
 	// would take the fleet to be smaller than it is.
 	minForecastTerm = 5 * time.Second
-	// maxForecastSilence is how long the capacity of a worker that does not report still counts: most restart sooner.
-	maxForecastSilence = 5 * time.Second
 	// maxWaitsAge is how long forecasts are used again. One takes about 2 ms of a core for 8,000 waiting tasks, and a
 	// dozen entries ask twice a second each.
 	maxWaitsAge = 300 * time.Millisecond
@@ -63,7 +61,7 @@
 func (c *Core) snapshots(now time.Duration) map[string]*queuewait.Snapshot {
 	services := map[string]*queuewait.Snapshot{}
 	for _, w := range c.sortedWorkers {
-		if !c.countsForForecast(w, now) {
+		if !c.expectsTasks(w, now) {
 			continue
 		}
 		s := services[w.info.Service]
@@ -102,12 +100,6 @@
 	return services
 }
 
-// countsForForecast reports whether a worker is expected to run tasks now or soon.
-func (c *Core) countsForForecast(w *worker, now time.Duration) bool {
-	return w.info != nil && !w.info.Leaving && !w.deregistered && !c.evacuated(w) &&
-		now-w.reportedAt <= maxForecastSilence && (w.downSince == never || now-w.downSince <= maxForecastSilence)
-}
-
 // appendDemands appends the tasks of a job that can start once there is capacity. Jobs past their late limit are left
 // out, since they may be placed after others.
 func (c *Core) appendDemands(s *queuewait.Snapshot, j *job, q *batch.Queue, now time.Duration) {
--- a/internal/scheduler/queue_wait_test.go
+++ b/internal/scheduler/queue_wait_test.go
@@ -21,7 +21,7 @@
 	}{
 		"backlog":    {func(*fixture) {}, 0, map[string]time.Duration{"q1": 20 * time.Second}},
 		"new leader": {func(f *fixture) { f.c.startedAt = -minForecastTerm + 1 }, 0, nil},
-		"no reports": {func(*fixture) {}, maxForecastSilence + 1, nil},
+		"no reports": {func(*fixture) {}, maxSilence + 1, nil},
 		"deregisters": {func(f *fixture) { f.c.workers["b"].deregistered = true }, 0,
 			map[string]time.Duration{"q1": 40 * time.Second}},
 		"free worker": {func(f *fixture) { f.report("c", 0) }, 0, map[string]time.Duration{"q1": 10 * time.Second}},
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -100,12 +100,45 @@
 	return r
 }
 
+// longRunning returns the part of reserved that long-running tasks occupy.
+func (w *worker) longRunning() batch.Resources {
+	var r batch.Resources
+	for t := range w.tasks {
+		if t.step.spec.LongRunning {
+			r = r.Plus(t.step.spec.Reserved())
+		}
+	}
+	return r
+}
+
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Duration) bool {
 	return w.info != nil && !w.info.Leaving && !w.deregistered && w.reached && w.downSince == never &&
 		now-w.reportedAt <= maxReportAge && now >= w.quarantinedUntil
 }
 
+// maxSilence is how long the capacity of a worker that does not answer still counts for the future: most restart sooner.
+const maxSilence = 5 * time.Second
+
+// expectsTasks reports whether a worker takes new tasks now or is expected to soon. One that has been silent for longer is
+// taken as gone: its machine may never come back, and nothing may wait for it.
+func (c *Core) expectsTasks(w *worker, now time.Duration) bool {
+	heardAt := max(w.reportedAt, w.announcedAt, c.startedAt)
+	return w.info != nil && !w.info.Leaving && !w.deregistered && !c.evacuated(w) && now-heardAt <= maxSilence &&
+		(w.downSince == never || now-w.downSince <= maxSilence)
+}
+
+// expectedWorkers returns the number of workers for which expectsTasks holds.
+func (c *Core) expectedWorkers(now time.Duration) int {
+	n := 0
+	for _, w := range c.sortedWorkers {
+		if c.expectsTasks(w, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // rejectReason returns why a worker cannot take the run of a task that is assigned to it, or an empty string. Its capacity
 // may have shrunk, or an evacuation may have been requested, since the task was placed.
 func (c *Core) rejectReason(w *worker, t *task, now time.Duration) string {
