intake: a cancelled job is not stored later

Cause: DELETE read that the job is not stored and left nothing behind. A submission whose write was under way, held up at an entry that was cut off from the store, was conditional only on the job being new, and took effect later.

Ruled out: answering such a DELETE only once no submission can be under way. No entry knows of the submissions of the others, and the store may carry out a write seconds after it was sent.

Change: DELETE of a job that is not stored writes the cancellation, conditional on the absence of the job, before it answers 410. A submission is conditional on the absence of a cancellation and gets 410 if there is one. The leader deletes a cancellation without a job after status_s. One more write for a DELETE that is answered with 410; all other calls as before.

Tests: TestCancelledJobIsNotStoredLater (7 orders of events; the former code stores the job after the 410), TestSubmissionOfACancelledJobIsAnswered (failed before), TestUnusedCancellationsAreDeletedAfterTheRetentionTime, TestCancellationThatComesBeforeItsJobHolds, TestDeletionOfACancellationLeavesTheJob. TestInvalidRequestsAreRejected expected that nothing is stored, with a DELETE of an unknown job among its requests: that was the fault. It now expects this cancellation and nothing else, and that a submission after it is refused.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -259,17 +259,17 @@
 // storeSilent reports whether the store is out of reach of this process.
 func (s *Service) storeSilent() bool { return s.catalogs.Silence() > maxStoreSilence }
 
-// storeJob writes the job on the condition that it is new and that the configuration has not changed. It retries for
-// maxRetryTime if no attempt had an effect, and while the outcome is unknown until ctx ends or the store is out of
+// storeJob writes the job on the condition that it is new and not cancelled, and that the configuration has not changed. It
+// retries for maxRetryTime if no attempt had an effect, and while the outcome is unknown until ctx ends or the store is out of
 // reach. The caller can then use the rest of its time to submit the job again through another entry.
 func (s *Service) storeJob(ctx context.Context, r Request, a *admitted, value []byte) (response Response) {
-	key := scheduler.JobKey(a.jobID)
+	key, cancelKey := scheduler.JobKey(a.jobID), scheduler.CancelKey(a.jobID)
 	mayBeStored := false
 	s.mu.Lock()
 	s.unresolved.add(a.jobID, boottime.Now())
 	s.mu.Unlock()
 	defer func() {
-		if response.Outcome == OK {
+		if response.Outcome == OK || response.Outcome == Gone {
 			s.mu.Lock()
 			s.unresolved.remove(a.jobID)
 			s.mu.Unlock()
@@ -278,7 +278,7 @@
 	started := time.Now()
 	for {
 		revision, err := s.tryWrite(ctx, kvstore.Txn{
-			Expect: []kvstore.Condition{{Key: key}, a.condition},
+			Expect: []kvstore.Condition{{Key: key}, {Key: cancelKey}, a.condition},
 			Puts:   []kvstore.Write{{Key: key, Value: value}},
 		})
 		var conflict *kvstore.ConflictError
@@ -290,6 +290,9 @@
 			if existing := conflict.Find(key); existing.Revision != 0 {
 				return Response{Outcome: OK, Reason: "stored before"}
 			}
+			if conflict.Find(cancelKey).Revision != 0 {
+				return Response{Outcome: Gone, Reason: "the job was cancelled before it was stored"}
+			}
 			// The configuration has changed, so earlier attempts can have no effect any more.
 			mayBeStored = false
 			if _, err := s.catalogs.Refresh(ctx); err == nil {
--- a/internal/intake/job_state.go
+++ b/internal/intake/job_state.go
@@ -125,12 +125,15 @@
 
 // storeCancellation writes the cancellation of a job, and retries until ctx ends.
 func (s *Service) storeCancellation(ctx context.Context, a *admitted) Response {
+	if !isJobID(a.jobID) {
+		return Response{Outcome: Gone, Reason: "no such job"}
+	}
 	for {
-		err := s.tryStoreCancellation(ctx, a.jobID)
+		stored, err := s.tryStoreCancellation(ctx, a.jobID)
 		switch {
-		case err == nil:
+		case err == nil && stored:
 			return Response{Outcome: OK}
-		case errors.Is(err, kvstore.ErrNotFound):
+		case err == nil:
 			return Response{Outcome: Gone, Reason: "no such job"}
 		case ctx.Err() != nil:
 			return Response{Outcome: OutcomeUnknown, Reason: err.Error()}
@@ -139,29 +142,26 @@
 	}
 }
 
-// tryStoreCancellation makes one attempt to write the cancellation of a job. It returns kvstore.ErrNotFound if there is
-// no such job, and no error if the job has been cancelled already.
-func (s *Service) tryStoreCancellation(ctx context.Context, id string) error {
+// tryStoreCancellation makes one attempt to write the cancellation of a job, and returns whether the job is stored. The
+// cancellation of a job that is not stored keeps a submission that is under way from storing it later.
+func (s *Service) tryStoreCancellation(ctx context.Context, id string) (stored bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !isJobID(id) {
-		return kvstore.ErrNotFound
-	}
-	e, err := s.store.Get(ctx, scheduler.JobKey(id))
-	if err != nil {
-		return err
+	job, err := s.store.Get(ctx, scheduler.JobKey(id))
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
+		return false, err
 	}
 	value := []byte("{}")
 	revision, err := s.store.Txn(ctx, kvstore.Txn{
-		Expect: []kvstore.Condition{{Key: e.Key, Revision: e.Revision}, {Key: scheduler.CancelKey(id)}},
+		Expect: []kvstore.Condition{{Key: scheduler.JobKey(id), Revision: job.Revision}, {Key: scheduler.CancelKey(id)}},
 		Puts:   []kvstore.Write{{Key: scheduler.CancelKey(id), Value: value}},
 	})
 	if err == nil {
 		s.notifyLeader(kvstore.Entry{Key: scheduler.CancelKey(id), Value: value, Revision: revision})
 	}
 	var conflict *kvstore.ConflictError
-	if errors.As(err, &conflict) && conflict.Find(scheduler.CancelKey(id)).Revision != 0 {
-		return nil // already cancelled
+	if errors.As(err, &conflict) && conflict.Find(scheduler.CancelKey(id)).Revision != 0 { // already cancelled
+		return conflict.Find(scheduler.JobKey(id)).Revision != 0, nil
 	}
-	return err
+	return job.Revision != 0, err
 }
--- a/internal/intake/unresolved.go
+++ b/internal/intake/unresolved.go
@@ -33,7 +33,7 @@
 	u.attempts[id] = now
 }
 
-// remove removes a job that is known to be stored.
+// remove removes a job of which it is known whether it is stored.
 func (u *unresolvedJobs) remove(id string) { delete(u.attempts, id) }
 
 // contains reports whether a job may be stored by an unanswered write. After an overflow that holds for all jobs.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -73,8 +73,11 @@
 	openJobs      []*job // the jobs of allJobs that are not in a final state
 	allJobs       []*job // in the order in which the leader learned of them
 	workers       map[string]*worker
-	sortedWorkers []*worker                 // by node, so that equal states lead to equal decisions
-	earlyCancels  map[string]bool           // cancellations that came before their jobs
+	sortedWorkers []*worker // by node, so that equal states lead to equal decisions
+	// earlyCancels holds the cancellations of jobs that the core does not have, with the time when it learned of them: they
+	// came before their jobs, or the jobs were never stored.
+	earlyCancels  map[string]time.Duration
+	unusedCancels []string                  // those of earlyCancels that are to be deleted
 	startedAt     time.Duration             // when this leader took over
 	inherited     *handover                 // by the previous leader; nil if it did not resign
 	outbox        []Order                   // orders that need no record
@@ -115,7 +118,7 @@
 // NewCore returns a core without jobs and workers.
 func NewCore(config Config, now time.Duration) *Core {
 	return &Core{config: config, jobs: map[string]*job{}, workers: map[string]*worker{},
-		earlyCancels: map[string]bool{}, claims: map[*stepInstance]*claim{}, startedAt: now, catalog: &batch.Catalog{},
+		earlyCancels: map[string]time.Duration{}, claims: map[*stepInstance]*claim{}, startedAt: now, catalog: &batch.Catalog{},
 		durations: map[string]*durationStats{}, lostWork: map[LossCause]float64{},
 		suspects: map[*task]struct{}{}, speedTrackers: map[string]*speed.Tracker{}, rules: policyRules,
 		predictions: map[string]*prediction{}, yielded: map[string]float64{}}
@@ -164,7 +167,7 @@
 		}
 		c.openDueOccurrences(j, now, wall)
 	}
-	if c.earlyCancels[b.ID] {
+	if _, ok := c.earlyCancels[b.ID]; ok {
 		c.Cancel(b.ID, now, wall)
 	}
 	j.forEachTask(func(t *task) {
@@ -184,9 +187,11 @@
 func (c *Core) Cancel(id string, now time.Duration, wall time.Time) bool {
 	j := c.jobs[id]
 	if j == nil {
-		added := !c.earlyCancels[id]
-		c.earlyCancels[id] = true
-		return added
+		_, known := c.earlyCancels[id]
+		if !known {
+			c.earlyCancels[id] = now
+		}
+		return !known
 	}
 	if j.state.Final() || j.state == stateDeleted {
 		return false
@@ -234,6 +239,7 @@
 	}
 	c.giveUpCrashingTasks(now, wall)
 	c.expireJobs(wall)
+	c.expireCancels(now)
 	c.markCheckpointsDirty(now)
 	c.updateEvacuationStatus(now)
 	if c.planNeeded && now >= c.earliestPlan || now-c.plannedAt >= planInterval {
@@ -328,6 +334,7 @@
 			b.acks = w.appendUnrecordedEnds(b.acks)
 		}
 	}
+	c.deleteUnusedCancels(b, limit)
 	if len(b.Changes) == 0 && len(b.acks) == 0 {
 		return nil, nil
 	}
@@ -340,6 +347,34 @@
 	return b, nil
 }
 
+// deleteUnusedCancels adds the deletion of cancellations whose jobs were not stored within the retention time of a finished
+// job. Until then they keep the jobs from being stored by a delayed or repeated submission.
+func (c *Core) deleteUnusedCancels(b *WriteBatch, limit int) {
+	for len(c.unusedCancels) > 0 && len(b.Changes) < limit {
+		id := c.unusedCancels[0]
+		c.unusedCancels = c.unusedCancels[1:]
+		if c.jobs[id] != nil {
+			continue
+		}
+		klog.InfoS("Deleting cancellation of a job that was not stored", "job", id)
+		b.Changes = append(b.Changes, RecordChange{Job: id, DeleteCancel: true})
+		delete(c.earlyCancels, id) // a job that is stored from now on is not cancelled
+	}
+}
+
+// expireCancels finds the cancellations that deleteUnusedCancels deletes.
+func (c *Core) expireCancels(now time.Duration) {
+	if len(c.unusedCancels) > 0 {
+		return
+	}
+	for id, learnedAt := range c.earlyCancels {
+		if c.jobs[id] == nil && now-learnedAt > c.config.FinalStateRetention {
+			c.unusedCancels = append(c.unusedCancels, id)
+		}
+	}
+	slices.Sort(c.unusedCancels)
+}
+
 // ApplyCommit applies the commit of a batch at a revision and returns the orders that may be sent now.
 func (c *Core) ApplyCommit(b *WriteBatch, revision kvstore.Revision, now time.Duration) []Order {
 	for _, change := range b.Changes {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -36,6 +36,8 @@
 	State  batch.State
 	// Delete deletes all keys of the job.
 	Delete bool
+	// DeleteCancel deletes the cancellation of a job that is not stored, and changes nothing else.
+	DeleteCancel bool
 }
 
 // WriteBatch is a set of record changes that are written in one transaction, with the messages that may be sent once
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -232,6 +232,11 @@
 func (t *leaderTerm) commit(ctx context.Context, b *WriteBatch) (kvstore.Revision, error) {
 	txn := kvstore.Txn{Expect: []kvstore.Condition{t.term.Condition}}
 	for _, c := range b.Changes {
+		if c.DeleteCancel {
+			txn.Expect = append(txn.Expect, kvstore.Condition{Key: JobKey(c.Job)})
+			txn.Deletes = append(txn.Deletes, CancelKey(c.Job))
+			continue
+		}
 		txn.Expect = append(txn.Expect, kvstore.Condition{Key: RecordKey(c.Job), Revision: c.Expect})
 		if c.Delete {
 			txn.Deletes = append(txn.Deletes, RecordKey(c.Job), JobKey(c.Job), CancelKey(c.Job))
@@ -270,6 +275,9 @@
 	}
 	var revision kvstore.Revision
 	for _, c := range b.Changes {
+		if c.DeleteCancel { // the job may have been stored since an earlier attempt took effect
+			continue
+		}
 		now := conflict.Find(RecordKey(c.Job))
 		if c.Delete && now.Revision == 0 || !c.Delete && bytes.Equal(now.Value, c.Record) {
 			revision = now.Revision
