platform: requests reach no other incarnation of the worker

Cause: a request to the worker names only its id, which the next incarnation has as well. A restarted agent passed the leader's orders, lease and acknowledgement for the incarnation before to the present one, which carried out the orders and forgot their ends.

Ruled out: withholding the acknowledgement until the worker has announced itself. Orders would still reach the next incarnation, and an agent that stays up has the same gap between the restart of its worker and the announcement.

Change: connections are kept by incarnation, and on a new one the worker is identified by a request without an effect. What it lists then is retained. An incarnation instead of which another one answers is not asked again until it announces itself.

--- a/internal/relay/ends.go
+++ b/internal/relay/ends.go
@@ -98,14 +98,12 @@
 		err  error
 	}
 	answered := make(chan answer, 1)
-	r.mu.Lock()
-	r.openCalls[q.incarnation]++
-	r.mu.Unlock()
+	end := r.beginCall(q.incarnation)
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), q.wait+syncRunsMargin)
 	go func() {
 		defer cancel()
 		runs, err := r.driver.SyncRuns(callCtx, q.incarnation, q.fence, q.ackedThrough, q.leaseUntilMS, q.wait)
-		r.callAnswered(q.incarnation, runs, err)
+		end(runs, err)
 		answered <- answer{runs, err}
 	}()
 	select {
@@ -117,22 +115,28 @@
 	return batch.Runs{}, errInterrupted
 }
 
-// callAnswered ends a call of listRuns that was addressed to an incarnation.
-func (r *Relay) callAnswered(incarnation batch.Incarnation, runs batch.Runs, err error) {
+// beginCall begins a call that lists the runs and is addressed to an incarnation. The function that it returns ends the
+// call and retains the ended runs that the worker has listed.
+func (r *Relay) beginCall(incarnation batch.Incarnation) func(batch.Runs, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil {
-		r.ends.add(runs)
-	}
-	if r.openCalls[incarnation]--; r.openCalls[incarnation] == 0 {
-		delete(r.openCalls, incarnation)
+	r.openCalls[incarnation]++
+	return func(runs batch.Runs, err error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if err == nil {
+			r.ends.add(runs)
+		}
+		if r.openCalls[incarnation]--; r.openCalls[incarnation] == 0 {
+			delete(r.openCalls, incarnation)
+		}
+		close(r.callEnded)
+		r.callEnded = make(chan struct{})
 	}
-	close(r.callEnded)
-	r.callEnded = make(chan struct{})
 }
 
-// awaitAnswers waits until all calls of listRuns that were addressed to other incarnations than the one that lists its
-// runs, zero for none, are answered or have failed. It returns false if ctx ends before that.
+// awaitAnswers waits until all calls that list runs and are addressed to other incarnations than the one that lists its
+// runs now, zero for none, are answered or have failed. It returns false if ctx ends before that.
 func (r *Relay) awaitAnswers(ctx context.Context, listing batch.Incarnation) bool {
 	for {
 		r.mu.Lock()
--- a/internal/relay/identity_test.go
+++ b/internal/relay/identity_test.go
@@ -135,3 +135,38 @@
 		}
 	}
 }
+
+// Guards against an agent that opens a connection for each poll after its worker has started again, and against a worker
+// that is not asked any more although it announces itself (review/8).
+func TestReplacedWorkerIsAskedAgainOnceItAnnouncesItself(t *testing.T) {
+	d := &fakeDriver{incarnation: incarnation, err: ErrOtherWorker}
+	r := New(d)
+	conn := connect(t, r)
+	request := SyncRequest{Term: 1, Incarnation: incarnation, AckedThrough: 4, LeaseUntilMS: 900}
+	sync := func() SyncResponse {
+		t.Helper()
+		var response SyncResponse
+		if err := conn.Call(context.Background(), MethodSync, request, &response); err != nil {
+			t.Fatal(err)
+		}
+		return response
+	}
+	for range 10 { // the agent was restarted, and takes the leader's word until it asks
+		if got := sync(); got.Error == "" || got.Runs != nil {
+			t.Fatalf("%+v, want an error", got)
+		}
+	}
+	if d.lists != 1 {
+		t.Errorf("the worker was asked %d times, want once", d.lists)
+	}
+	var order OrderResponse
+	if err := conn.Call(context.Background(), MethodStart, StartRequest{Term: 1, Incarnation: incarnation}, &order); err != nil ||
+		order.Verdict != batch.VerdictOldIncarnation || d.starts != 0 {
+		t.Errorf("order %+v, error %v, %d starts", order, err, d.starts)
+	}
+	d.err = nil
+	r.Announce(batch.Worker{Incarnation: incarnation, Sequence: 1})
+	if got := sync(); got.Runs == nil || got.Worker == nil || got.Worker.Incarnation != incarnation {
+		t.Errorf("%+v, want the worker that has announced itself", got)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,12 +16,13 @@
 	"masticcart.example/masticcart/internal/rpc"
 )
 
-// Driver is the client of the worker process.
+// Driver is the client of the worker process. Its calls reach no other incarnation than the one that they are addressed to,
+// for as long as a restarted worker does not answer on the connections of the one before.
 type Driver interface {
 	// SyncRuns extends the lease of the running tasks, acknowledges ended runs up to the number ackedThrough, and
 	// returns the runs. It waits at most wait for a run to end. leaseUntilMS is on the worker's clock; zero extends
-	// nothing. The error wraps ErrNotListening if the worker's address refuses connections, and ErrOtherWorker if a worker
-	// with another id answers.
+	// nothing. The error wraps ErrNotListening if the worker's address refuses connections, and ErrOtherWorker if another
+	// incarnation answers.
 	SyncRuns(ctx context.Context, incarnation batch.Incarnation, fence, ackedThrough, leaseUntilMS int64,
 		wait time.Duration) (batch.Runs, error)
 	// Start starts a run. An error comes with batch.VerdictUnknown, or with batch.VerdictRefused if the worker has
@@ -29,13 +30,16 @@
 	Start(ctx context.Context, r StartRequest) (batch.Verdict, error)
 	// Stop stops a run. Its verdict and error are like those of Start.
 	Stop(ctx context.Context, r StopRequest) (batch.Verdict, error)
+	// TrackLists sets a function that is called before each call by which the driver itself lists the runs. The function
+	// that it returns is called with the result. It is called once, before all other methods.
+	TrackLists(begin func(batch.Incarnation) (end func(batch.Runs, error)))
 }
 
 // Errors of Driver.SyncRuns.
 var (
 	// ErrNotListening means that no process listens at the worker's address.
 	ErrNotListening = merry.Sentinel("relay: the worker does not listen")
-	// ErrOtherWorker means that the worker that answers has another id.
+	// ErrOtherWorker means that another incarnation answers.
 	ErrOtherWorker = merry.Sentinel("relay: another worker answers")
 )
 
@@ -64,15 +68,19 @@
 	deregistered  batch.Incarnation // has announced its end and not announced itself since; zero for none
 	speed         *Speed            // the last estimate of a leader; nil for none
 	workerChanged chan struct{}     // closed and replaced when the worker restarts, leaves or changes its capacity
-	ends          retainedEnds
-	openCalls     map[batch.Incarnation]int // calls of listRuns in progress, by the incarnation that they are addressed to
-	callEnded     chan struct{}             // closed and replaced when one of them ends
+	// replaced is an incarnation instead of which another one has answered, which has not been confirmed; zero for none.
+	replaced  batch.Incarnation
+	ends      retainedEnds
+	openCalls map[batch.Incarnation]int // calls in progress that list runs, by the incarnation that they are addressed to
+	callEnded chan struct{}             // closed and replaced when one of them ends
 }
 
 // New returns the relay of the worker behind the driver.
 func New(driver Driver) *Relay {
-	return &Relay{driver: driver, workerChanged: make(chan struct{}), openCalls: map[batch.Incarnation]int{},
+	r := &Relay{driver: driver, workerChanged: make(chan struct{}), openCalls: map[batch.Incarnation]int{},
 		callEnded: make(chan struct{})}
+	driver.TrackLists(r.beginCall)
+	return r
 }
 
 // Handlers returns the RPC methods that the relay serves to the leader.
@@ -91,6 +99,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.worker
+	if r.replaced == w.Incarnation {
+		r.replaced = batch.Incarnation{}
+	}
 	if known == nil || w.Incarnation != known.Incarnation {
 		r.awaitConfirmation(&w)
 		return
@@ -268,6 +279,9 @@
 	if incarnation == (batch.Incarnation{}) {
 		return batch.Runs{}, errNotAnnounced
 	}
+	if r.isReplaced(incarnation) {
+		return batch.Runs{}, ErrOtherWorker
+	}
 	query := r.queryFor(incarnation, req)
 	if incarnation != req.Incarnation {
 		return r.listRuns(ctx, query, nil)
@@ -281,12 +295,32 @@
 		query = r.queryFor(r.identifyWorker(ctx, req), req)
 		runs, err = r.listRuns(ctx, query, nil)
 	}
+	if errors.Is(err, ErrOtherWorker) {
+		r.noteReplaced(query.incarnation)
+	}
 	if err == nil && runs.Incarnation != query.incarnation {
 		klog.InfoS("Worker answered as another incarnation", "worker", runs.Incarnation, "known", query.incarnation)
 	}
 	return runs, err
 }
 
+// noteReplaced records that another incarnation answers instead of one. Nothing is sent to that one any more, unless it
+// announces itself: each attempt would take a new connection.
+func (r *Relay) noteReplaced(incarnation batch.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.replaced != incarnation {
+		klog.InfoS("Another incarnation answers instead of the worker", "worker", incarnation)
+		r.replaced = incarnation
+	}
+}
+
+func (r *Relay) isReplaced(incarnation batch.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replaced == incarnation
+}
+
 // queryFor returns the query to an incarnation, without a wait. Only the incarnation that the leader knows gets the
 // acknowledgement and the lease.
 func (r *Relay) queryFor(incarnation batch.Incarnation, req SyncRequest) runsQuery {
@@ -341,11 +375,11 @@
 }
 
 // checkIncarnation returns why an order for an incarnation cannot be passed to the worker, with the verdict, or an empty
-// string. The worker itself compares only its id, so an unconfirmed restart under the same id holds up orders.
+// string. An unconfirmed restart under the same id holds up orders.
 func (r *Relay) checkIncarnation(incarnation batch.Incarnation) (verdict batch.Verdict, problem string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.worker != nil && r.worker.Incarnation != incarnation {
+	if r.worker != nil && r.worker.Incarnation != incarnation || r.replaced == incarnation {
 		return batch.VerdictOldIncarnation, "the worker has started again"
 	}
 	for _, w := range r.unconfirmed {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,6 +16,7 @@
 	ackedThrough int64
 	lease        int64
 	starts       int
+	lists        int           // calls of SyncRuns
 	waiting      chan struct{} // closed when SyncRuns waits for a run to end; nil if nobody waits for that
 	err          error         // of SyncRuns
 	ended        []batch.EndedTask
@@ -23,6 +24,7 @@
 
 func (d *fakeDriver) SyncRuns(ctx context.Context, _ batch.Incarnation, _, ackedThrough, lease int64,
 	wait time.Duration) (batch.Runs, error) {
+	d.lists++
 	if d.err != nil {
 		return batch.Runs{}, d.err
 	}
@@ -37,6 +39,8 @@
 	return batch.Runs{Incarnation: d.incarnation, ClockMS: 5, Ended: d.ended}, nil
 }
 
+func (d *fakeDriver) TrackLists(func(batch.Incarnation) func(batch.Runs, error)) {}
+
 func (d *fakeDriver) Start(context.Context, StartRequest) (batch.Verdict, error) {
 	d.starts++
 	return batch.VerdictAccepted, nil
