scheduler: acknowledgements of ends as a package of their own; one computation of chains

Cause: reading the diff as a newcomer. The numbers of ended runs stood in fields of the worker for its present incarnation and in a map for the earlier ones, with the same rules; the longest chain of steps was computed twice, in batch and in the scheduler.

Change: package ends tracks what is applied and recorded by incarnation; batch.Job.Chains serves admission and the scheduler. No behaviour is meant to change, but that a chain of no steps is zero in both.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -145,18 +146,23 @@
 // Occurrences returns how often the job runs.
 func (j *Job) Occurrences() int { return max(j.RepeatCount, 1) }
 
-// LongestChain returns the estimated duration of the longest chain of steps, at most MaxDuration. The job must be valid.
+// LongestChain returns the estimated duration of the longest chain of steps, at most MaxDuration, and zero without steps.
 func (j *Job) LongestChain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	longest := time.Duration(0)
-	for i := range j.Steps {
-		for _, a := range j.Steps[i].After {
-			ends[i] = max(ends[i], ends[a])
+	return slices.Max(append(j.Chains(func(s *Step) time.Duration { return s.Estimate }), 0))
+}
+
+// Chains returns, for each step, the duration of the longest chain of steps that begins with it, at most MaxDuration, given
+// the duration of a task of each step. The job must be valid: a step depends on earlier ones only, so each dependency is
+// looked at once.
+func (j *Job) Chains(duration func(*Step) time.Duration) []time.Duration {
+	chains := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		chains[i] = min(chains[i]+duration(&j.Steps[i]), MaxDuration)
+		for _, before := range j.Steps[i].After {
+			chains[before] = max(chains[before], chains[i])
 		}
-		ends[i] = min(ends[i]+j.Steps[i].Estimate, MaxDuration)
-		longest = max(longest, ends[i])
 	}
-	return longest
+	return chains
 }
 
 // LeastNeed returns the least that a task of the steps without a predecessor needs, for each resource on its own.
--- a/internal/relay/ends.go
+++ b/internal/relay/ends.go
@@ -14,8 +14,8 @@
 // maxIncarnationsWithEnds is the number of incarnations whose ended runs are retained.
 const maxIncarnationsWithEnds = 4
 
-// incarnationEnds holds the ended runs of one incarnation of the worker, by number.
-type incarnationEnds struct {
+// unackedEnds holds the ended runs of one incarnation of the worker, by number.
+type unackedEnds struct {
 	incarnation  batch.Incarnation
 	ackedThrough int64
 	ended        []batch.EndedTask
@@ -23,11 +23,11 @@
 
 // retainedEnds holds the ended runs that the worker has listed and the leader has not acknowledged, for each of its last
 // incarnations, the oldest first. The worker itself lists them only for as long as its process lives.
-type retainedEnds []*incarnationEnds
+type retainedEnds []*unackedEnds
 
 // of returns the ends of an incarnation, or nil.
-func (r retainedEnds) of(incarnation batch.Incarnation) *incarnationEnds {
-	at := slices.IndexFunc(r, func(e *incarnationEnds) bool { return e.incarnation == incarnation })
+func (r retainedEnds) of(incarnation batch.Incarnation) *unackedEnds {
+	at := slices.IndexFunc(r, func(e *unackedEnds) bool { return e.incarnation == incarnation })
 	if at < 0 {
 		return nil
 	}
@@ -41,7 +41,7 @@
 		if len(*r) == maxIncarnationsWithEnds {
 			*r = slices.Delete(*r, 0, 1)
 		}
-		e = &incarnationEnds{incarnation: runs.Incarnation}
+		e = &unackedEnds{incarnation: runs.Incarnation}
 		*r = append(*r, e)
 	}
 	last := e.ackedThrough
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -331,7 +331,9 @@
 	}
 	if complete { // ended runs of jobs that are left out must not be acknowledged yet
 		for _, w := range c.sortedWorkers {
-			b.acks = w.appendUnrecordedEnds(b.acks)
+			for _, a := range w.ends.Unrecorded() {
+				b.acks = append(b.acks, endAck{w.node, a})
+			}
 		}
 	}
 	c.deleteUnusedCancels(b, limit)
@@ -420,9 +422,9 @@
 // batch, since acknowledgements are cumulative.
 func (c *Core) ackRecordedEnds() {
 	for len(c.inFlight) > 0 && c.inFlight[0].committed {
-		for _, ack := range c.inFlight[0].acks {
-			if w := c.workers[ack.node]; w != nil {
-				w.noteRecordedEnds(ack)
+		for _, a := range c.inFlight[0].acks {
+			if w := c.workers[a.node]; w != nil {
+				w.ends.NoteRecorded(a.ack)
 			}
 		}
 		c.inFlight = c.inFlight[1:]
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -50,11 +50,10 @@
 	committed bool
 }
 
-// endAck is the highest number of an ended run that is recorded of an incarnation of the worker on a node.
+// endAck acknowledges recorded ends of the worker on a node.
 type endAck struct {
-	node        string
-	incarnation batch.Incarnation
-	end         int64
+	node string
+	ack  relay.EndAck
 }
 
 // Report is an agent's answer to a poll.
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -9,15 +9,15 @@
 	"masticcart.example/masticcart/internal/batch"
 )
 
-// applyEnds applies the ended runs that an incarnation of a worker has listed, in their order. Those up to the number
-// applied were applied before. It returns the number of the last one.
-func (c *Core) applyEnds(w *worker, incarnation batch.Incarnation, ended []batch.EndedTask, applied int64,
-	now time.Duration, wall time.Time) int64 {
+// applyEnds applies the ended runs that an incarnation of a worker has listed, in their order. Runs that were applied before
+// are skipped.
+func (c *Core) applyEnds(w *worker, incarnation batch.Incarnation, ended []batch.EndedTask, now time.Duration,
+	wall time.Time) {
 	for _, e := range ended {
-		if e.Number <= applied {
+		if e.Number <= w.ends.Applied(incarnation) {
 			continue
 		}
-		applied = e.Number
+		w.ends.NoteApplied(incarnation, e.Number)
 		j := c.jobs[e.Task.Job]
 		if j == nil {
 			continue
@@ -33,7 +33,6 @@
 			"tookMs", (now - t.startedAt).Milliseconds(), "checkpoint", e.Checkpoint, "reason", t.reason)
 		c.applyEnd(w, t, e, now, wall)
 	}
-	return applied
 }
 
 func (c *Core) applyEnd(w *worker, t *task, e batch.EndedTask, now time.Duration, wall time.Time) {
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -132,25 +132,14 @@
 
 // objective returns the latency objective of a job, or of each occurrence of it.
 func (c *Core) objective(j *job) time.Duration {
-	longest := slices.Max(c.chains(j, 0))
+	longest := slices.Max(append(c.chains(j), 0))
 	return time.Duration(float64(longest)*c.queue(j).SlackFactor) + c.queue(j).TargetLatency
 }
 
-// longestChain returns the expected duration of the longest chain of steps that begins with s, at most batch.MaxDuration.
-func (c *Core) longestChain(s *stepInstance) time.Duration { return c.chains(s.job(), s.index)[0] }
+// longestChain returns the expected duration of the longest chain of steps that begins with s.
+func (c *Core) longestChain(s *stepInstance) time.Duration { return c.chains(s.job())[s.index] }
 
-// chains returns the expected duration of the longest chain of steps that begins with each step from the first one given
-// on, at most batch.MaxDuration. A step depends on earlier ones only, so each dependency is looked at once.
-func (c *Core) chains(j *job, first int) []time.Duration {
-	chains := make([]time.Duration, len(j.Steps)-first)
-	for i := len(j.Steps) - 1; i >= first; i-- {
-		chain := &chains[i-first]
-		*chain = min(*chain+c.likelyDuration(j, &j.Steps[i]), batch.MaxDuration)
-		for _, before := range j.Steps[i].After {
-			if before >= first {
-				chains[before-first] = max(chains[before-first], *chain)
-			}
-		}
-	}
-	return chains
+// chains returns the expected duration of the longest chain of steps that begins with each step of a job.
+func (c *Core) chains(j *job) []time.Duration {
+	return j.Chains(func(s *batch.Step) time.Duration { return c.likelyDuration(j, s) })
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -8,6 +8,8 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/relay"
+	"masticcart.example/masticcart/internal/scheduler/ends"
 	"masticcart.example/masticcart/internal/scheduler/speed"
 )
 
@@ -27,13 +29,9 @@
 	agentFollows   bool          // the agent has answered this leader, and rejects calls of previous ones
 	reached        bool          // this leader has received a report of the current incarnation
 	deregistered   bool          // the current incarnation has announced its end
-	lastEnd        int64         // number of the last ended run that was applied
-	// recordedEnd is the number of the last ended run that is recorded and may be acknowledged.
-	recordedEnd int64
-	// earlierEnds holds the progress of earlier incarnations whose ended runs the agent still retains.
-	earlierEnds  map[batch.Incarnation]*endProgress
-	ackedEnd     int64         // number of the last ended run that was acknowledged to the current incarnation
-	reportSentAt time.Duration // when the request of the last report was sent
+	ends           *ends.Tracker
+	ackedEnd       int64         // number of the last ended run that was acknowledged to the current incarnation
+	reportSentAt   time.Duration // when the request of the last report was sent
 	// epoch counts the restarts of the worker that this leader has seen. It is part of the fencing token, since a
 	// worker may restart under the same id: it would carry out an order that was meant for the previous incarnation.
 	epoch       int64
@@ -61,7 +59,7 @@
 	w := c.workers[node]
 	if w == nil {
 		w = &worker{node: node, tasks: map[*task]struct{}{}, leaseExpiresBy: c.startedAt + c.inheritedLease(node),
-			orphanStops: map[string]time.Duration{}, earlierEnds: map[batch.Incarnation]*endProgress{}, downSince: never,
+			orphanStops: map[string]time.Duration{}, ends: ends.NewTracker(), downSince: never,
 			lastDownAt: never, speedClass: speed.Unknown}
 		w.leaseExpiresBy = max(w.leaseExpiresBy, now)
 		c.workers[node] = w
@@ -187,8 +185,8 @@
 func (c *Core) SyncParameters(node string, now time.Duration) (incarnation batch.Incarnation, sequence, ack int64) {
 	w := c.worker(node, now)
 	if w.info != nil {
-		if w.recordedEnd > w.ackedEnd {
-			ack = w.recordedEnd
+		if recorded := w.ends.Recorded(w.info.Incarnation); recorded > w.ackedEnd {
+			ack = recorded
 		}
 		return w.info.Incarnation, w.info.Sequence, ack
 	}
@@ -198,6 +196,15 @@
 	return batch.Incarnation{}, 0, 0
 }
 
+// EarlierAcks returns the acknowledgements for the agent of a node that concern earlier incarnations of its worker, or ones
+// that the leader has no announcement of.
+func (c *Core) EarlierAcks(node string) []relay.EndAck {
+	if w := c.workers[node]; w != nil {
+		return w.ends.Acks(w.incarnation())
+	}
+	return nil
+}
+
 const (
 	// minReportWait is how long an agent normally waits for a run to end before it reports. Leases are extended at the
 	// same rate.
@@ -212,7 +219,7 @@
 // ReportWait returns how long an agent may wait for a run to end before it reports.
 func (c *Core) ReportWait(node string) time.Duration {
 	w := c.workers[node]
-	if w == nil || w.lastEnd > w.ackedEnd {
+	if w == nil || w.ends.Applied(w.incarnation()) > w.ackedEnd {
 		return minReportWait
 	}
 	wait := maxReportWait
@@ -264,10 +271,22 @@
 	w.reached, w.downSince, w.replaced = true, never, nil
 	w.reportSentAt, w.workerClockMS, w.reportedAt = r.SentAt, r.Runs.ClockMS, r.ReceivedAt
 	c.restoreSpeed(w, r.Speed, r.ReceivedAt)
-	w.lastEnd = c.applyEnds(w, r.Runs.Incarnation, r.Runs.Ended, w.lastEnd, r.ReceivedAt, wall)
+	c.applyEnds(w, r.Runs.Incarnation, r.Runs.Ended, r.ReceivedAt, wall)
 	c.reconcileRuns(w, r)
 }
 
+// applyRetainedEnds applies ended runs that incarnations of a worker have listed before their end, and that the agent
+// retains until they are acknowledged. It comes before anything by which these runs could be taken as lost.
+func (c *Core) applyRetainedEnds(w *worker, r Report, wall time.Time) {
+	tracked := []batch.Incarnation{w.incarnation()}
+	for _, e := range r.RetainedEnds {
+		klog.V(1).InfoS("Agent has retained ended runs", "node", w.node, "worker", e.Incarnation, "ended", len(e.Ended))
+		c.applyEnds(w, e.Incarnation, e.Ended, r.ReceivedAt, wall)
+		tracked = append(tracked, e.Incarnation)
+	}
+	w.ends.Keep(tracked)
+}
+
 // noteDeregistration applies what a report says of the deregistration of the current incarnation. Its runs are lost once
 // no process listens any more: a deregistration may be a delayed one of an earlier incarnation, and a worker whose
 // deregistration was not confirmed goes on for some time.
@@ -313,7 +332,6 @@
 		c.updateCold(w, info, now)
 	}
 	if before != nil && before.Incarnation != info.Incarnation {
-		w.earlierEnds[before.Incarnation] = &endProgress{applied: w.lastEnd, recorded: w.recordedEnd}
 		w.epoch++
 		if w.replaced == nil {
 			w.replaced = &endedIncarnation{before.Incarnation, w.downSince, before.Leaving || w.deregistered, w.healthy}
@@ -322,8 +340,7 @@
 	if before == nil || before.Incarnation != info.Incarnation {
 		klog.InfoS("Worker described", "node", w.node, "worker", info.Incarnation, "service", info.Service,
 			"rack", info.Rack, "capacity", info.Capacity, "leaving", info.Leaving)
-		w.reached, w.deregistered, w.lastEnd, w.recordedEnd, w.ackedEnd, w.workerClockMS, w.reportedAt =
-			false, false, 0, 0, 0, 0, 0
+		w.reached, w.deregistered, w.ackedEnd, w.workerClockMS, w.reportedAt = false, false, 0, 0, 0
 		w.failedJobs, w.quarantinedUntil, w.announcedAt = 0, 0, now
 		w.orphaned, w.largest, w.healthy, w.provenAt = batch.Resources{}, info.Capacity, false, 0
 		c.forgetSpeed(w)
