--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -53,7 +53,8 @@
 		c.stopGang(t, LossRestarted, "member ended", now)
 	case e.Outcome == batch.OutcomeDone:
 		w.failedJobs = 0
-		if !t.step.spec.Gang && t.incarnation == w.incarnation() { // a member of a gang waits for the others
+		// A member of a gang waits for the others. The speed of an earlier incarnation says nothing of the present one.
+		if !t.step.spec.Gang && t.incarnation == w.incarnation() {
 			c.observeSpeed(w, t, completePercent, now)
 		}
 		c.recordDuration(t, now)
