--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -153,12 +153,15 @@
 	}
 }
 
-// cancel cancels a job until that is acknowledged or the attempts are used up, each time at the next entry. That there is
-// no such job is an acknowledgement: a submission without an answer must not store it later.
+// cancel cancels a job until that is acknowledged, the job is unknown or the attempts are used up, each time at the next
+// entry.
 func (r *run) cancel(j *soakJob, entry, attempts int) {
 	for n := 0; n < attempts && r.ctx.Err() == nil; n++ {
 		status, _ := r.client(entry+n).Call(r.ctx, http.MethodDelete, j.id, "")
-		if status == http.StatusOK || status == http.StatusGone {
+		if status == http.StatusGone && j.longRunning {
+			return
+		}
+		if status == http.StatusOK {
 			now := time.Now()
 			r.recorder.add(now, func(c *rulecheck.Checker) { c.JobCancelled(j.spec.ID, r.recorder.sinceStart(now)) })
 			return
