abusetest: clients that hold an entry's memory and descriptors

No test starts a process and lets a crowd of clients hold its resources.

They run after all other tests, so that nothing else loads the machine.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,12 @@
 
 # Entries of KNOWN-RED.txt that begin with "go test -run NAME" are left out; .ci/run prints the file.
 KNOWN_RED := $(shell sed -n 's/^go test -run \(Test[A-Za-z0-9]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+SKIP_KNOWN_RED := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+# The tests of ALONE check the memory of processes, so they run after the others.
+ALONE := ./internal/abusetest
 test:
-	$(GO) test $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test $(SKIP_KNOWN_RED) $$($(GO) list ./... | grep -v '$(ALONE:.%=%)$$')
+	$(GO) test $(SKIP_KNOWN_RED) $(ALONE)
 
 fmt-check:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
