entry: limits on what callers can make the process hold

Cause: the handler read each body whole, with a growing buffer, before anything asked whether there was room, and nothing limited how many connections or bodies were open. Silent connections took all descriptors, also those for the store and the agents.

Change: package clientlimit has one budget in bytes, from the memory limit of the machine, for connections and for bodies with what they are decoded to, and grants clients half of the descriptors. At a limit the connections and unfinished bodies that have made no progress for longest give way; their requests get 503, which is checked against the store. Bytes count until the handler has returned, connections until their goroutine has ended. A write of a response and the kernel's buffer for it are bounded. Callers have connections to the store of their own, so that the leader's calls do not wait behind theirs. docs/design/client-limits.md lists the limits.

Why it works: a body needs a reservation before its buffer grows, and a connection a place before it is served; both are taken from one account.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	p.rpc = server
-	if p.control, err = serve(p.settings.BindAddresses.Control, platform.HeartbeatHandler(p.relay)); err != nil {
+	if p.control, err = serve(p.settings.BindAddresses.Control, platform.HeartbeatHandler(p.relay), nil); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
+	"masticcart.example/masticcart/internal/clientlimit"
 	"masticcart.example/masticcart/internal/election"
 	"masticcart.example/masticcart/internal/intake"
 	"masticcart.example/masticcart/internal/kvstore"
@@ -50,7 +51,8 @@
 
 // EntryModule provides and runs an entry: a process that serves callers and campaigns to be the leader.
 var EntryModule = fx.Module("entry",
-	fx.Provide(newStore, newCatalogWatcher, newScheduler, newElection, newLeaderClient, newIntake, newMetrics, newMeter,
+	fx.Provide(newStore, newCatalogWatcher, newScheduler, newElection, newLeaderClient, newIntake, newLimiter,
+		newMetrics, newMeter,
 		func() *transport.TLSConfigs { return &transport.TLSConfigs{} },
 		func(i *intake.Service) telemetry.ReadinessCheck { return i.Ready }),
 	fx.Invoke(telemetry.RegisterServer, serveEntry),
@@ -121,14 +123,21 @@
 	return d
 }
 
-func newIntake(s *platform.Settings, store kvstore.Store, watcher *intake.CatalogWatcher,
-	leader *leaderClient, m *telemetry.Metrics) *intake.Service {
+// newLimiter returns the limits on callers, which come from those of the process.
+func newLimiter(s *platform.Settings, m *telemetry.Metrics) *clientlimit.Limiter {
+	return clientlimit.New(clientlimit.ForProcess(int64(s.Limits.MemoryMB)<<20, s.Limits.MaxFDs), m.Scope)
+}
+
+// newIntake returns the service for callers. It has connections to the store of its own, so that the calls of the leader
+// and the watches do not wait for those on behalf of callers.
+func newIntake(s *platform.Settings, watcher *intake.CatalogWatcher, leader *leaderClient,
+	m *telemetry.Metrics) *intake.Service {
 	intakeSettings := intake.Settings{Scope: m.Scope,
 		MaxPendingAge: time.Duration(float64(platform.Milliseconds(s.Bounds.VisibleMS)) * pendingAgeFraction)}
 	if s.Bounds.RevokeStrict {
 		intakeSettings.MaxCatalogAge = time.Duration(float64(platform.Milliseconds(s.Bounds.RevokeMS)) * catalogAgeFraction)
 	}
-	return intake.New(store, watcher, leader, intakeSettings)
+	return intake.New(newStore(s), watcher, leader, intakeSettings)
 }
 
 // entryProcess holds the servers and the background work of an entry.
@@ -140,6 +149,7 @@
 	intake    *intake.Service
 	scheduler *scheduler.Service
 	meter     *rpc.Meter
+	limiter   *clientlimit.Limiter
 
 	stopping     atomic.Bool
 	front        *http.Server
@@ -153,9 +163,9 @@
 }
 
 func serveEntry(lc fx.Lifecycle, s *platform.Settings, store kvstore.Store, watcher *intake.CatalogWatcher,
-	e *election.Election, jobIntake *intake.Service, sched *scheduler.Service, m *rpc.Meter) {
+	e *election.Election, jobIntake *intake.Service, sched *scheduler.Service, m *rpc.Meter, l *clientlimit.Limiter) {
 	p := &entryProcess{settings: s, store: store, watcher: watcher, election: e, intake: jobIntake, scheduler: sched,
-		meter: m}
+		meter: m, limiter: l}
 	lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop})
 }
 
@@ -167,10 +177,10 @@
 		return err
 	}
 	p.rpc = server
-	if p.front, err = serve(p.settings.BindAddresses.Front, &platform.JobHandler{Intake: p.intake}); err != nil {
+	if p.front, err = serve(p.settings.BindAddresses.Front, &platform.JobHandler{Intake: p.intake}, p.limiter); err != nil {
 		return err
 	}
-	if p.ready, err = serve(p.settings.BindAddresses.Readiness, http.HandlerFunc(p.readiness)); err != nil {
+	if p.ready, err = serve(p.settings.BindAddresses.Readiness, http.HandlerFunc(p.readiness), nil); err != nil {
 		return err
 	}
 	backgroundCtx, cancelBackground := context.WithCancel(context.Background())
@@ -216,14 +226,17 @@
 	return errors.Join(err, p.ready.Close())
 }
 
-// serve listens on an address and serves a handler in the background.
-func serve(address string, handler http.Handler) (*http.Server, error) {
+// serve listens on an address and serves a handler in the background. The limiter, if it is not nil, bounds the clients.
+func serve(address string, handler http.Handler, limiter *clientlimit.Limiter) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes}
+	if limiter != nil {
+		l = limiter.Protect(server, l)
+	}
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, "Listener failed", "address", address)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -15,6 +15,7 @@
 
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/boottime"
+	"masticcart.example/masticcart/internal/clientlimit"
 	"masticcart.example/masticcart/internal/kvstore"
 	"masticcart.example/masticcart/internal/scheduler"
 	"masticcart.example/masticcart/internal/wait"
@@ -37,9 +38,6 @@
 	OutcomeUnknown Outcome = "unclear"
 )
 
-// ErrTooLarge is the error of the parse function of Submit for a body larger than MaxBodyBytes.
-var ErrTooLarge = errors.New("the body is too large")
-
 // Request is one request of a caller.
 type Request struct {
 	Host, Path, Key string
@@ -115,16 +113,22 @@
 	loadAt      time.Duration  // boottime when load was requested
 	lastArrival time.Duration  // boottime of the last submission that may be refused because of load
 	unresolved  unresolvedJobs
+	// refusalChecks is a semaphore that bounds the calls to the store on behalf of submissions that are refused because
+	// clients are at their limits. Without a check, the outcome of earlier submissions of the job is unknown.
+	refusalChecks chan struct{}
 }
 
 // New returns the intake of an entry. Run has to be called to notify the leader of stored entries.
 func New(store kvstore.Store, catalogs *CatalogWatcher, leader LeaderClient, settings Settings) *Service {
 	return &Service{store: store, catalogs: catalogs, leader: leader, settings: settings,
 		metrics: newMetrics(settings.Scope), stored: make(chan kvstore.Entry, storedQueueLength),
-		loadNeeded: make(chan struct{}, 1),
+		loadNeeded: make(chan struct{}, 1), refusalChecks: make(chan struct{}, maxRefusalChecks),
 		unresolved: unresolvedJobs{attempts: map[string]time.Duration{}, overflowAt: -unresolvedRetention}}
 }
 
+// maxRefusalChecks bounds the concurrent checks of submissions that are refused because clients are at their limits.
+const maxRefusalChecks = 2
+
 // storedQueueLength bounds the stored entries that the leader has yet to be notified of.
 const storedQueueLength = 64
 
@@ -222,7 +226,7 @@
 }
 
 // Submit stores a job and acknowledges it. parse decodes the job from the body of the request and is called only if the
-// request is admitted.
+// request is admitted. The errors of package clientlimit determine the response.
 func (s *Service) Submit(ctx context.Context, r Request, parse func() (*batch.Job, error)) Response {
 	started := time.Now()
 	a, refusal := s.admit(r)
@@ -238,24 +242,47 @@
 		job.ID, job.Queue, job.Team, job.AcceptedAt = a.jobID, *a.queue, a.team, time.Now()
 		err = job.Validate()
 	}
-	if errors.Is(err, ErrTooLarge) {
-		return s.logResponse("Submission refused", r, a, started, Response{Outcome: TooLarge, Reason: err.Error()})
-	}
-	if err != nil {
-		return s.logResponse("Submission refused", r, a, started, Response{Outcome: Invalid, Reason: err.Error()})
+	var value []byte
+	if err == nil {
+		value, err = json.Marshal(job)
 	}
-	value, err := json.Marshal(job)
-	if err != nil {
-		return s.logResponse("Submission refused", r, a, started, Response{Outcome: Invalid, Reason: err.Error()})
+	if err == nil {
+		err = clientlimit.Reserve(ctx, int64(len(value))*valueCopies)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline())
 	defer cancel()
+	if err != nil {
+		return s.logResponse("Submission refused", r, a, started, s.refusalOf(ctx, a.jobID, err))
+	}
 	if refusal := s.refuseForLoad(ctx, job); refusal != nil {
 		return *refusal
 	}
 	return s.logResponse("Submission answered", r, a, started, s.storeJob(ctx, r, a, value))
 }
 
+// valueCopies is the number of copies of a stored job that exist while it is written: decoded, encoded, encoded as base64
+// text in the request, and in the queue of notifications to the leader.
+const valueCopies = 5
+
+// refusalOf returns the response to a submission that was not stored because of an error.
+func (s *Service) refusalOf(ctx context.Context, id string, err error) Response {
+	switch {
+	case errors.Is(err, clientlimit.ErrTooLarge):
+		return Response{Outcome: TooLarge, Reason: err.Error()}
+	case !errors.Is(err, clientlimit.ErrOverloaded):
+		return Response{Outcome: Invalid, Reason: err.Error()}
+	}
+	select {
+	case s.refusalChecks <- struct{}{}:
+		defer func() { <-s.refusalChecks }()
+		if !s.mayBeStored(ctx, id) {
+			return Response{Outcome: Unavailable, Reason: err.Error(), RetryAfter: clientlimit.RetryAfter}
+		}
+	default:
+	}
+	return Response{Outcome: OutcomeUnknown, Reason: err.Error() + "; an earlier submission of the job may be stored"}
+}
+
 // storeSilent reports whether the store is out of reach of this process.
 func (s *Service) storeSilent() bool { return s.catalogs.Silence() > maxStoreSilence }
 
