--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -194,6 +194,23 @@
 	MaxDuration = 10 * 365 * 24 * time.Hour
 )
 
+// MaxLabelBytes bounds the label and the data rack of a step of a new job.
+const MaxLabelBytes = 256
+
+// ValidateNew is Validate for a job that has not been accepted yet. It also checks limits that jobs of earlier releases may
+// exceed.
+func (j *Job) ValidateNew() error {
+	if err := j.Validate(); err != nil {
+		return err
+	}
+	for i := range j.Steps {
+		if s := &j.Steps[i]; max(len(s.RequiredLabel), len(s.DataRack)) > MaxLabelBytes {
+			return fmt.Errorf("step %d: label or data rack of more than %d bytes", i, MaxLabelBytes)
+		}
+	}
+	return nil
+}
+
 // Validate returns an error that names the first invalid field.
 func (j *Job) Validate() error {
 	switch {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -240,7 +240,7 @@
 	job, err := parse()
 	if err == nil {
 		job.ID, job.Queue, job.Team, job.AcceptedAt = a.jobID, *a.queue, a.team, time.Now()
-		err = job.Validate()
+		err = job.ValidateNew()
 	}
 	var value []byte
 	if err == nil {
