entry: the same limits on clients of a stand-alone entry

Cause: a stand-alone entry read each body whole before it asked whether there was room, and accepted any number of connections. 300 unfinished bodies of 1 MiB took it to 538 MB of 96, 300 queries of the largest length to 1729 MB, since their syntax trees are much larger than their text; silent clients and such that read no response took all its descriptors. Callers saw it end or not answer.

Change: the API is served within the limits of package clientlimit. Queries and commands reserve 192 times their size. The limits come from the new settings memory_mb and max_descriptors, else from GOMEMLIMIT or half of the machine's memory, and from the limit of the process. The garbage collector's limit follows. The time for a body (10 s) is what it was. transport.DrainBody has moved.

Why it works: as for the entries on the platform; see docs/design/client-limits.md.

Measured (x86-64), peak memory in MB of 96, before and after: TestStandaloneUnfinishedBodies 538, 49; TestStandaloneUnfinishedChunkedBodies 432, 49; TestStandaloneExpensiveQueries 1729, 49. TestStandaloneSilentConnections and TestStandaloneUnreadResponses ran out of 512 descriptors before, now 241 and 242. TestBadInput passes.

--- a/internal/entry/fx.go
+++ b/internal/entry/fx.go
@@ -6,12 +6,14 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/cell"
+	"masticcart.example/masticcart/internal/clientlimit"
 	"masticcart.example/masticcart/internal/config"
 	"masticcart.example/masticcart/internal/jobs"
 	"masticcart.example/masticcart/internal/kvstore"
@@ -32,7 +34,7 @@
 // Module provides and starts the entry role. It needs a *settings.Settings.
 var Module = fx.Module("entry",
 	fx.Provide(telemetry.NewMetrics, transport.LoadTLS, newStore, newTable, newOwnerCheck, newRepository, newConfigSync,
-		NewAgents, newPeers, newRouter, newCell, newJobs, newServer, readinessCheck),
+		NewAgents, newPeers, newRouter, newCell, newJobs, newServer, newLimiter, readinessCheck),
 	fx.Invoke(telemetry.RegisterServer, registerLifecycle),
 )
 
@@ -108,6 +110,22 @@
 	return server
 }
 
+// memoryLimitFraction is the fraction of the memory above which the garbage collector runs more often.
+const memoryLimitFraction = 0.8
+
+// newLimiter returns the limits on the clients of the API. They and the garbage collector's limit come from the memory and
+// the descriptors that the process may use.
+func newLimiter(s *settings.Settings, m *telemetry.Metrics) *clientlimit.Limiter {
+	memory := int64(s.Entry.MemoryMB) << 20
+	if memory == 0 {
+		memory = clientlimit.Memory()
+	}
+	debug.SetMemoryLimit(int64(float64(memory) * memoryLimitFraction))
+	limits := clientlimit.ForProcess(memory, s.Entry.MaxDescriptors)
+	limits.BodyTimeout = bodyTimeout
+	return clientlimit.New(limits, m.Scope)
+}
+
 // readinessCheck returns the check that the metrics listener reports as the readiness of the process.
 func readinessCheck(s *Server) telemetry.ReadinessCheck {
 	return func() error {
@@ -124,7 +142,7 @@
 // registerLifecycle appends the hooks that start the entry and stop it in the reverse order: first the callers are
 // drained, then the sessions of agents and peers are closed.
 func registerLifecycle(lc fx.Lifecycle, cfg *settings.Settings, tc *transport.TLSConfigs, s *Server,
-	repo *config.Repository) {
+	repo *config.Repository, limiter *clientlimit.Limiter) {
 	ctx, cancel := context.WithCancel(context.Background())
 	apiServer := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: cfg.Entry.ReadHeaderTimeout,
 		IdleTimeout: idleTimeout}
@@ -142,7 +160,7 @@
 			}
 			go s.config.LoadInitial(ctx, repo)
 			go s.jobs.RunSweeps(ctx, func(now time.Time) bool { return s.table.RanksFirstFor("sweep", now) })
-			return listenAPI(apiServer, cfg.Entry.APIListen, tc.API)
+			return listenAPI(apiServer, limiter, cfg.Entry.APIListen, tc.API)
 		},
 		OnStop: func(context.Context) error {
 			rpcServer.Close()
@@ -189,11 +207,12 @@
 }
 
 // listenAPI serves the API at the address, with TLS if tlsConfig is not nil.
-func listenAPI(apiServer *http.Server, address string, tlsConfig *tls.Config) error {
+func listenAPI(apiServer *http.Server, limiter *clientlimit.Limiter, address string, tlsConfig *tls.Config) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
+	listener = limiter.Protect(apiServer, listener)
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,17 +14,22 @@
 
 	"masticcart.example/masticcart/internal/cell"
 	"masticcart.example/masticcart/internal/client/api"
+	"masticcart.example/masticcart/internal/clientlimit"
 	"masticcart.example/masticcart/internal/config"
 	"masticcart.example/masticcart/internal/jobs"
 	"masticcart.example/masticcart/internal/membership"
 	"masticcart.example/masticcart/internal/routing"
 	"masticcart.example/masticcart/internal/settings"
-	"masticcart.example/masticcart/internal/transport"
 )
 
 const (
 	// bodyTimeout bounds how long a caller may take to send the request body.
 	bodyTimeout = 10 * time.Second
+	// bodyExpansion is the memory for a body and its copies as a multiple of the body's size: the buffer and the one that it
+	// has outgrown, the decoded payload, the encoded record, and the request to the store with the record as base64 text.
+	bodyExpansion = 8
+	// textExpansion is bodyExpansion for a query or for commands, whose tokens and syntax tree are larger than the text.
+	textExpansion = 192
 	// idleTimeout is how long an idle keep-alive connection stays open.
 	idleTimeout = 2 * time.Minute
 )
@@ -105,26 +109,15 @@
 // apiHandler serves one authenticated call.
 type apiHandler func(r *http.Request, p principal) (reply, error)
 
-// apiRoute limits the size of the request body and the time for reading it, authenticates the call, runs h, records
-// metrics and writes the reply.
+// apiRoute authenticates the call, reads the request body, runs h, records metrics and writes the reply.
 func (s *Server) apiRoute(path string, h apiHandler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		started := time.Now()
-		body := r.Body
-		r.Body = http.MaxBytesReader(w, body, s.settings.MaxBodyBytes)
-		if err := http.NewResponseController(w).SetReadDeadline(started.Add(bodyTimeout)); err != nil {
-			klog.V(2).InfoS("Read deadline not set", "err", err)
-		}
-		out, err := s.authenticateAndCall(w, r, h)
+		out, err := s.authenticateAndCall(w, r, path, h)
 		scope := s.scope.Tagged(map[string]string{"path": path})
 		scope.Timer("latency").Record(time.Since(started))
 		if err != nil {
 			scope.Tagged(map[string]string{"code": codeOf(err)}).Counter("errors").Inc(1)
-			if statusOf(err) == http.StatusRequestEntityTooLarge {
-				if err := transport.DrainBody(w, body); err != nil {
-					klog.InfoS("Body not read to its end", "path", path, "err", err)
-				}
-			}
 			s.writeError(w, err)
 			return
 		}
@@ -134,7 +127,7 @@
 
 // authenticateAndCall authenticates the caller, reads the whole body into the request's context, where decode finds it,
 // and calls h.
-func (s *Server) authenticateAndCall(w http.ResponseWriter, r *http.Request, h apiHandler) (reply, error) {
+func (s *Server) authenticateAndCall(w http.ResponseWriter, r *http.Request, path string, h apiHandler) (reply, error) {
 	if !s.config.Ready() {
 		return reply{}, apiError(http.StatusServiceUnavailable, api.CodeUnavailable,
 			"the configuration is not known yet; nothing was accepted")
@@ -143,13 +136,13 @@
 	if err != nil {
 		return reply{}, err
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return reply{}, bodyError(err, s.settings.MaxBodyBytes)
+	expansion := int64(bodyExpansion)
+	if path == api.PathQuery || path == api.PathChanges {
+		expansion = textExpansion
 	}
-	// The read deadline applies to the body only; the handler may run longer.
-	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
-		klog.V(2).InfoS("Read deadline not cleared", "err", err)
+	body, err := clientlimit.ReadBody(w, r, s.settings.MaxBodyBytes, expansion)
+	if err != nil {
+		return reply{}, bodyError(err)
 	}
 	return h(r.WithContext(context.WithValue(r.Context(), bodyKey{}, body)), p)
 }
@@ -158,10 +151,12 @@
 type bodyKey struct{}
 
 // bodyError converts an error from reading the request body to an API error.
-func bodyError(err error, limit int64) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return apiError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "the body exceeds %d bytes", limit)
+func bodyError(err error) error {
+	switch {
+	case errors.Is(err, clientlimit.ErrTooLarge):
+		return apiError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, "%v", err)
+	case errors.Is(err, clientlimit.ErrOverloaded):
+		return apiError(http.StatusServiceUnavailable, api.CodeOverloaded, "%v; nothing was accepted by this call", err)
 	}
 	return apiError(http.StatusRequestTimeout, api.CodeBadRequest, "the body was not read within %s: %v", bodyTimeout, err)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,6 +71,11 @@
 	ReadHeaderTimeout          time.Duration `json:"read_header_timeout" validate:"min=100ms,max=1m"`
 	// MaxQueuedRequests bounds the short requests that are queued at this entry.
 	MaxQueuedRequests int `json:"max_queue" validate:"min=1,max=1000000"`
+	// MemoryMB is the memory that the process may use, in MiB. Zero stands for GOMEMLIMIT if it is set, else for half of
+	// the machine's memory.
+	MemoryMB int `json:"memory_mb" validate:"min=0,max=16777216"`
+	// MaxDescriptors is the number of descriptors that the process may open. Zero stands for the limit of the process.
+	MaxDescriptors int `json:"max_descriptors" validate:"min=0,max=1073741816"`
 }
 
 // Platform configures the client of the platform's key-value service.
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -1,5 +1,5 @@
 // Package transport holds what the network listeners of all processes share: the TLS configurations, built from the
-// settings, and the draining of rejected HTTP bodies.
+// settings.
 package transport
 
 import (
