scheduler: bound the memory that accepted jobs take in the leader

Cause: the leader created the tasks of every occurrence that was due, whatever their number, and the next leader did so again from the store. 200 jobs of 4096 tasks took it to 451 MB of 96; one job of 64 x 4096 tasks, or 10,000 occurrences that were due, kept an ordinary job from being completed within two minutes. Nothing limited how many jobs were accepted: 60,000 took 132 MB.

Change: package scheduler/jobmemory accounts for jobs and open tasks in a quarter of the machine's memory. Occurrences are opened while there is room; large jobs and one team leave room for others. Records hold only occurrences up to the last that has progressed, and a restored job opens no more than that. Tasks of finished jobs are released once their runs have ended. A new job has at most 4096 tasks an occurrence. While a leader is full, entries refuse the teams concerned with 503, unless the job may be stored already. A request is held for at most a minute, whatever deadline its caller names.

TestAttemptsAreLimited looked at the task of a failed job, which is released now. It checks the same starts and the same state; only the access to the task allows for its absence.

Why it works: what a job costs is derived from its steps before its tasks exist, and each task is counted until it is released.

--- a/internal/abusetest/main_test.go
+++ b/internal/abusetest/main_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -28,9 +29,14 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	ctx, cancel := context.WithTimeout(context.Background(), buildTimeout)
 	defer cancel()
+	module, err := exec.CommandContext(ctx, "go", "env", "GOMOD").Output()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "go env:", err)
+		return 1
+	}
 	build := exec.CommandContext(ctx, "go", "build", "-o", dir+string(filepath.Separator), "./cmd/masticcartd",
 		"./cmd/standin-kv", "./cmd/standin-worker")
-	build.Dir = filepath.Join("..", "..")
+	build.Dir = filepath.Dir(strings.TrimSpace(string(module)))
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -143,6 +143,15 @@
 	AcceptedAt time.Time `json:"at"`
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // Occurrences returns how often the job runs.
 func (j *Job) Occurrences() int { return max(j.RepeatCount, 1) }
 
@@ -194,11 +203,15 @@
 	MaxDuration = 10 * 365 * 24 * time.Hour
 )
 
-// MaxLabelBytes bounds the label and the data rack of a step of a new job.
-const MaxLabelBytes = 256
+// Limits of a new job, which jobs of earlier releases may exceed.
+const (
+	// MaxJobTasks bounds the tasks of one occurrence. The record of their progress has to fit into one value of the store.
+	MaxJobTasks = 4096
+	// MaxLabelBytes bounds the label and the data rack of a step.
+	MaxLabelBytes = 256
+)
 
-// ValidateNew is Validate for a job that has not been accepted yet. It also checks limits that jobs of earlier releases may
-// exceed.
+// ValidateNew is Validate for a job that has not been accepted yet. It also checks the limits of a new job.
 func (j *Job) ValidateNew() error {
 	if err := j.Validate(); err != nil {
 		return err
@@ -208,6 +221,9 @@
 			return fmt.Errorf("step %d: label or data rack of more than %d bytes", i, MaxLabelBytes)
 		}
 	}
+	if n := j.Tasks(); n > MaxJobTasks {
+		return fmt.Errorf("steps: %d tasks in all, at most %d", n, MaxJobTasks)
+	}
 	return nil
 }
 
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -41,6 +41,8 @@
 	drainFraction = 0.4
 	// shutdownFraction is when the requests in flight are aborted, as a fraction of the grace period.
 	shutdownFraction = 0.9
+	// jobMemoryFraction is the share of the memory that accepted jobs may take in a leader.
+	jobMemoryFraction = 0.25
 	// takeoverMargin is added to the longest time that leases extended by the previous leader may last.
 	takeoverMargin = time.Second
 
@@ -90,6 +92,7 @@
 		EvacuationBound:     platform.Milliseconds(b.EvacuateMS),
 		ColdOverage:         b.ColdOverage,
 		ColdSlack:           b.ColdSlack,
+		JobMemory:           int64(float64(memoryLimit(s)) * jobMemoryFraction),
 	}, watcher, meter, scheduler.NewMetrics(m.Scope))
 }
 
@@ -125,7 +128,15 @@
 
 // newLimiter returns the limits on callers, which come from those of the process.
 func newLimiter(s *platform.Settings, m *telemetry.Metrics) *clientlimit.Limiter {
-	return clientlimit.New(clientlimit.ForProcess(int64(s.Limits.MemoryMB)<<20, s.Limits.MaxFDs), m.Scope)
+	return clientlimit.New(clientlimit.ForProcess(memoryLimit(s), s.Limits.MaxFDs), m.Scope)
+}
+
+// memoryLimit returns the memory that the process may use, in bytes.
+func memoryLimit(s *platform.Settings) int64 {
+	if mb := s.Limits.MemoryMB; mb > 0 {
+		return int64(mb) << 20
+	}
+	return clientlimit.Memory()
 }
 
 // newIntake returns the service for callers. It has connections to the store of its own, so that the calls of the leader
--- a/internal/hosted/leader.go
+++ b/internal/hosted/leader.go
@@ -78,6 +78,12 @@
 	return json.Unmarshal(data, &r.Pending)
 }
 
+// storedResponse answers methodNotifyStored. A leader of a release before its field sends an empty object.
+type storedResponse struct {
+	// Full means that the leader has no memory for further jobs of at least one team. scheduler.Load has the teams.
+	Full bool `json:"full,omitempty"`
+}
+
 type releaseRequest struct {
 	Term int64 `json:"term"`
 }
@@ -157,11 +163,12 @@
 			state, known := s.WaitState(ctx, r.Job, time.Duration(r.WaitMS)*time.Millisecond)
 			return stateResponse{State: state, Known: known}, nil
 		}),
-		methodNotifyStored: rpc.Method(func(_ context.Context, _ *rpc.Conn, e kvstore.Entry) (empty, error) {
-			if !s.ApplyIntakeEntry(e) {
-				return empty{}, errNoLeader
+		methodNotifyStored: rpc.Method(func(_ context.Context, _ *rpc.Conn, e kvstore.Entry) (storedResponse, error) {
+			full, isLeader := s.ApplyIntakeEntry(e)
+			if !isLeader {
+				return storedResponse{}, errNoLeader
 			}
-			return empty{}, nil
+			return storedResponse{Full: full}, nil
 		}),
 	}
 }
@@ -194,11 +201,13 @@
 }
 
 // NotifyStored implements intake.LeaderClient.
-func (l *leaderClient) NotifyStored(ctx context.Context, e kvstore.Entry) error {
-	if l.scheduler.ApplyIntakeEntry(e) {
-		return nil
+func (l *leaderClient) NotifyStored(ctx context.Context, e kvstore.Entry) (bool, error) {
+	if full, isLeader := l.scheduler.ApplyIntakeEntry(e); isLeader {
+		return full, nil
 	}
-	return l.call(ctx, leaderCallTimeout, methodNotifyStored, e, &empty{})
+	var response storedResponse
+	err := l.call(ctx, leaderCallTimeout, methodNotifyStored, e, &response)
+	return response.Full, err
 }
 
 // State implements intake.LeaderClient.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -72,6 +72,8 @@
 	callTimeout = 700 * time.Millisecond
 	// defaultDeadline is the time that callers without a deadline are assumed to wait.
 	defaultDeadline = 3 * time.Second
+	// maxDeadline bounds the time for which a request is held, whatever its caller asks for.
+	maxDeadline = time.Minute
 	// responseMargin is the part of the caller's time that is reserved for sending the response.
 	responseMargin = 150 * time.Millisecond
 	// retryDelay is the pause between attempts to reach the store or the leader.
@@ -93,8 +95,8 @@
 	// the call waits up to wait for a change.
 	State(ctx context.Context, job string, wait time.Duration) (batch.State, bool, error)
 	// NotifyStored tells the scheduler about a newly stored entry. Notifications may be lost: the scheduler also watches
-	// the store.
-	NotifyStored(ctx context.Context, e kvstore.Entry) error
+	// the store. full means that the leader has no memory for further jobs of at least one team.
+	NotifyStored(ctx context.Context, e kvstore.Entry) (full bool, err error)
 }
 
 // Service serves submissions, state queries and cancellations.
@@ -140,9 +142,13 @@
 	for {
 		select {
 		case e := <-s.stored:
-			if err := s.leader.NotifyStored(ctx, e); err != nil {
+			full, err := s.leader.NotifyStored(ctx, e)
+			if err != nil {
 				klog.V(1).InfoS("Failed to notify the leader of a stored entry", "key", e.Key, "err", err)
 			}
+			if full {
+				s.requestLoad()
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -219,10 +225,11 @@
 
 // deadline returns when the response has to be sent.
 func (r Request) deadline() time.Time {
-	if r.Deadline.IsZero() {
-		return time.Now().Add(defaultDeadline - responseMargin)
+	wait := defaultDeadline
+	if !r.Deadline.IsZero() {
+		wait = min(time.Until(r.Deadline), maxDeadline)
 	}
-	return r.Deadline.Add(-responseMargin)
+	return time.Now().Add(wait - responseMargin)
 }
 
 // Submit stores a job and acknowledges it. parse decodes the job from the body of the request and is called only if the
@@ -254,6 +261,10 @@
 	if err != nil {
 		return s.logResponse("Submission refused", r, a, started, s.refusalOf(ctx, a.jobID, err))
 	}
+	if !s.leaderAccepts(a.team) && !s.mayBeStored(ctx, a.jobID) {
+		return s.logResponse("Submission refused", r, a, started,
+			Response{Outcome: Unavailable, RetryAfter: fullRetryAfter, Reason: leaderFullReason})
+	}
 	if refusal := s.refuseForLoad(ctx, job); refusal != nil {
 		return *refusal
 	}
--- a/internal/intake/load.go
+++ b/internal/intake/load.go
@@ -26,6 +26,14 @@
 	// a dozen entries and few submissions a second, an entry gets one in several seconds, and would never have figures
 	// that are young enough if it asked only then.
 	loadFollowTime = 10 * time.Second
+	// minLoadRefresh bounds how often the figures are requested regularly.
+	minLoadRefresh = 100 * time.Millisecond
+	// maxFullAge is the age of the figures up to which a leader without memory for jobs is taken to have none. A new leader
+	// may have more.
+	maxFullAge = 5 * time.Second
+	// fullRetryAfter is the time after which a caller may retry a submission for which the leader had no memory, which
+	// jobs release only when they end.
+	fullRetryAfter = 5 * time.Second
 )
 
 // metrics counts decisions on submissions.
@@ -116,16 +124,30 @@
 	s.lastArrival = boottime.Now()
 	s.mu.Unlock()
 	if load.Pending == nil || age < 0 || age > s.loadRefreshAge() {
-		select {
-		case s.loadNeeded <- struct{}{}:
-		default:
-		}
+		s.requestLoad()
 	}
 	return load, age
 }
 
+// requestLoad has the figures requested from the leader, and does not wait for the answer.
+func (s *Service) requestLoad() {
+	select {
+	case s.loadNeeded <- struct{}{}:
+	default:
+	}
+}
+
 func (s *Service) loadRefreshAge() time.Duration {
-	return time.Duration(float64(s.settings.MaxPendingAge) * loadRefreshFraction)
+	return max(minLoadRefresh, time.Duration(float64(s.settings.MaxPendingAge)*loadRefreshFraction))
+}
+
+const leaderFullReason = "the scheduler holds as many jobs as its memory permits; the job has not run and will not run"
+
+// leaderAccepts reports whether the leader has memory for a job of a team, by its last figures. An entry learns that there
+// is none from the leader's answer to a notification, and requests the figures regularly from then on.
+func (s *Service) leaderAccepts(team string) bool {
+	load, age := s.knownLoad()
+	return load.Accepts(team) || age > maxFullAge
 }
 
 // followLoad requests the leader's figures when a submission needs them, and regularly while jobs arrive that have to
@@ -152,7 +174,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return ctx.Err() == nil && len(load.Waits) > 0 && boottime.Now()-s.lastArrival <= loadFollowTime
+	return ctx.Err() == nil && (!load.AcceptsAll() ||
+		len(load.Waits) > 0 && boottime.Now()-s.lastArrival <= loadFollowTime)
 }
 
 // knownLoad returns the last figures and the time since they were requested.
--- a/internal/intake/store_silence_test.go
+++ b/internal/intake/store_silence_test.go
@@ -74,7 +74,7 @@
 	return "", false, errNoLeader
 }
 
-func (noLeader) NotifyStored(context.Context, kvstore.Entry) error { return nil }
+func (noLeader) NotifyStored(context.Context, kvstore.Entry) (bool, error) { return false, nil }
 
 // startIntake returns an intake that has read its configuration, a public queue, from the store.
 func startIntake(t *testing.T, store kvstore.Store, config kvstore.Store) *Service {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -16,6 +16,7 @@
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/scheduler/jobmemory"
 	"masticcart.example/masticcart/internal/scheduler/speed"
 )
 
@@ -44,6 +45,8 @@
 	// ColdOverage and ColdSlack limit the runs on a worker that is still slow after its start: to ColdOverage times the mean
 	// number of runs on the warm workers of its service, plus ColdSlack. Both zero means no limit.
 	ColdOverage, ColdSlack float64
+	// JobMemory is the memory in bytes that accepted jobs may take. Zero means no limit.
+	JobMemory int64
 }
 
 // clockDriftFactor allows for a worker's clock that runs 2% slow.
@@ -102,6 +105,7 @@
 	lastColdUntil      time.Duration             // when all workers that were announced as cold are warm
 	missingGuarantees  int                       // see noteMissingGuarantees
 	evacuationStatus   evacuationStatus
+	memory             *jobmemory.Account
 }
 
 // Stats counts events of runs and tasks since the leader took over.
@@ -121,7 +125,8 @@
 		earlyCancels: map[string]time.Duration{}, claims: map[*stepInstance]*claim{}, startedAt: now, catalog: &batch.Catalog{},
 		durations: map[string]*durationStats{}, lostWork: map[LossCause]float64{},
 		suspects: map[*task]struct{}{}, speedTrackers: map[string]*speed.Tracker{}, rules: policyRules,
-		predictions: map[string]*prediction{}, yielded: map[string]float64{}}
+		predictions: map[string]*prediction{}, yielded: map[string]float64{},
+		memory: jobmemory.New(config.JobMemory)}
 }
 
 // Stats returns the number of events of runs and tasks by kind.
@@ -160,6 +165,8 @@
 	}
 	c.jobs[b.ID] = j
 	c.allJobs = append(c.allJobs, j)
+	c.memory.Add(&j.Job)
+	c.memory.Resize(j.Team, 0, j.openTasks)
 	if !j.state.Final() {
 		c.openJobs = append(c.openJobs, j)
 		if c.queue(j).Priority == 0 {
@@ -218,10 +225,18 @@
 	c.planNeeded = true
 }
 
-// openDueOccurrences creates the tasks of all occurrences that are due.
+// openDueOccurrences creates the tasks of the occurrences that are due, as far as there is memory for them.
 func (c *Core) openDueOccurrences(j *job, now time.Duration, wall time.Time) {
+	j.waitsForMemory = false
 	for j.nextOccurrence < j.Occurrences() && !wall.Before(j.Due(j.nextOccurrence)) {
+		if !c.memory.MayOpen(jobmemory.Occurrence{Team: j.Team, Urgent: c.queue(j).Priority == 0, Tasks: j.Tasks(),
+			OpenTasks: j.openTasks, OpenOccurrences: len(j.occurrences)}) {
+			j.waitsForMemory = true
+			return
+		}
+		before := j.openTasks
 		o := j.openOccurrence(j.nextOccurrence)
+		c.memory.Resize(j.Team, before, j.openTasks)
 		j.nextOccurrence++
 		j.dirty = true
 		c.planNeeded = true
@@ -276,11 +291,27 @@
 	}
 }
 
-// expireJobs marks finished jobs for deletion once their retention time has passed.
+// closeOccurrence removes the tasks of an occurrence, none of which occupies a worker any more.
+func (c *Core) closeOccurrence(o *occurrence) {
+	j := o.job
+	delete(j.occurrences, o.number)
+	before := j.openTasks
+	j.openTasks -= j.Tasks()
+	c.memory.Resize(j.Team, before, j.openTasks)
+}
+
+// expireJobs removes the tasks of finished jobs, and marks the jobs for deletion once their retention time has passed.
 func (c *Core) expireJobs(wall time.Time) {
 	for _, j := range c.allJobs {
-		if j.state.Final() && !j.dirty && !j.writing && wall.Sub(j.finishedAt) > c.config.FinalStateRetention &&
-			j.idle() {
+		if !j.state.Final() || j.dirty || j.writing {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if !o.active() {
+				c.closeOccurrence(o)
+			}
+		}
+		if len(j.occurrences) == 0 && wall.Sub(j.finishedAt) > c.config.FinalStateRetention {
 			j.dirty = true
 			j.state = stateDeleted
 		}
@@ -387,6 +418,7 @@
 		j.writing = false
 		if change.Delete {
 			delete(c.jobs, j.ID)
+			c.memory.Remove(&j.Job)
 			c.allJobs = slices.DeleteFunc(c.allJobs, func(o *job) bool { return o == j })
 			delete(c.earlyCancels, j.ID)
 			continue
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -45,6 +45,9 @@
 	e := &Explanation{Job: id, State: j.state, Queue: j.Queue.Name, Team: j.Team, Priority: c.queue(j).Priority,
 		WaitedMS: j.age(now).Milliseconds(), ObjectiveMS: c.objective(j).Milliseconds(), Catalog: c.catalog.Version,
 		Reason: j.failure}
+	if j.waitsForMemory {
+		e.Reason = fmt.Sprintf("waits until the leader has room for %d further tasks", j.Tasks())
+	}
 	names := [...]string{waiting: "waiting", assigned: "assigned", stopping: "stopping"}
 	j.forEachTask(func(t *task) {
 		if t.phase == done {
--- a/internal/scheduler/invariants_test.go
+++ b/internal/scheduler/invariants_test.go
@@ -438,7 +438,7 @@
 				starts++
 			}
 		}
-		if x := f.c.jobs[id.Job].findTask(id); x.phase == assigned {
+		if x := f.c.jobs[id.Job].findTask(id); x != nil && x.phase == assigned {
 			f.endRun(id, int64(n+1), at+500*time.Millisecond, batch.OutcomeFailed)
 		}
 	}
--- a/internal/scheduler/queue_wait.go
+++ b/internal/scheduler/queue_wait.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"masticcart.example/masticcart/internal/batch"
@@ -13,8 +14,18 @@
 	Pending map[string]int `json:"pending"`
 	// Waits has the queues in which a job that is accepted now is expected to wait.
 	Waits map[string]QueueWait `json:"waits,omitempty"`
+	// Full means that the leader holds as many jobs as its memory permits. FullTeams are the teams that have used their
+	// share of it.
+	Full      bool     `json:"full,omitempty"`
+	FullTeams []string `json:"fullTeams,omitempty"`
 }
 
+// Accepts reports whether the leader has memory for further jobs of a team.
+func (l Load) Accepts(team string) bool { return !l.Full && !slices.Contains(l.FullTeams, team) }
+
+// AcceptsAll reports whether the leader has memory for further jobs of all teams.
+func (l Load) AcceptsAll() bool { return !l.Full && len(l.FullTeams) == 0 }
+
 // QueueWait is the expected wait in a queue.
 type QueueWait struct {
 	WaitMS int64 `json:"wait"` // milliseconds until the start of a job that is accepted now
@@ -154,5 +165,6 @@
 	if t.waits == nil || now-t.waitsAt > maxWaitsAge {
 		t.waits, t.waitsAt = t.core.QueueWaits(now), now
 	}
-	return Load{Pending: t.core.PendingByQueue(), Waits: t.waits}, true
+	return Load{Pending: t.core.PendingByQueue(), Waits: t.waits, Full: t.core.memory.Full(),
+		FullTeams: t.core.memory.FullTeams()}, true
 }
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -49,14 +49,15 @@
 	Started bool        `json:"started,omitempty"`
 	// FinishedMS is the wall-clock time in Unix milliseconds at which the job reached its final state.
 	FinishedMS int64 `json:"finished,omitempty"`
-	// Next is the first occurrence that has not become due, Ended the number of completed occurrences.
+	// Next is the first occurrence from which on none has progressed, Ended the number of completed occurrences.
 	Next        int                `json:"next,omitempty"`
 	Ended       int                `json:"ended,omitempty"`
 	Occurrences []recordOccurrence `json:"occ,omitempty"`
 	Failure     string             `json:"why,omitempty"` // why the job has failed
 }
 
-// recordOccurrence is the progress of an occurrence that is due and not completed.
+// recordOccurrence is the progress of an occurrence before Record.Next that is not completed. A finished job has only those
+// with tasks on workers.
 type recordOccurrence struct {
 	Number int          `json:"k"`
 	Steps  []recordStep `json:"steps"`
@@ -90,6 +91,25 @@
 	StartedMS int64  `json:"b,omitempty"`
 }
 
+// progressed reports whether any task has run or failed.
+func (o recordOccurrence) progressed() bool {
+	return slices.ContainsFunc(o.Steps, func(s recordStep) bool {
+		return s.GangFailures > 0 || len(s.Done) > 0 || len(s.Tasks) > 0
+	})
+}
+
+// active reports whether a task occupies a worker.
+func (o recordOccurrence) active() bool {
+	return slices.ContainsFunc(o.Steps, func(s recordStep) bool {
+		return slices.ContainsFunc(s.Tasks, func(t recordTask) bool { return t.Node != "" })
+	})
+}
+
+// active reports whether a task occupies a worker.
+func (o *occurrence) active() bool {
+	return slices.ContainsFunc(o.steps, func(s *stepInstance) bool { return slices.ContainsFunc(s.tasks, (*task).active) })
+}
+
 // record returns the job's progress as an encoded Record.
 func (j *job) record() ([]byte, error) {
 	r := Record{State: j.state, Started: j.started, Next: j.nextOccurrence, Ended: j.endedOccurrences,
@@ -97,9 +117,14 @@
 	if j.state.Final() {
 		r.FinishedMS = j.finishedAt.UnixMilli()
 	}
-	for number := range j.nextOccurrence {
+	for ; r.Next > 0; r.Next-- {
+		if o := j.occurrences[r.Next-1]; o == nil || o.progressed() {
+			break
+		}
+	}
+	for number := range r.Next {
 		o := j.occurrences[number]
-		if o == nil {
+		if o == nil || j.state.Final() && !o.active() {
 			continue
 		}
 		ro := recordOccurrence{Number: number}
@@ -141,6 +166,13 @@
 	if r.Next < 0 || r.Next > j.Occurrences() {
 		return fmt.Errorf("record of job %s: %d occurrences are due, the job has %d", j.ID, r.Next, j.Occurrences())
 	}
+	for len(r.Occurrences) > 0 { // records of earlier releases have all that were due
+		last := r.Occurrences[len(r.Occurrences)-1]
+		if last.Number != r.Next-1 || last.progressed() {
+			break
+		}
+		r.Occurrences, r.Next = r.Occurrences[:len(r.Occurrences)-1], r.Next-1
+	}
 	j.revision, j.state, j.started, j.nextOccurrence, j.endedOccurrences = revision, r.State, r.Started, r.Next, r.Ended
 	j.recordedState, j.failure = r.State, r.Failure
 	if r.FinishedMS != 0 {
@@ -150,6 +182,9 @@
 		if ro.Number < 0 || ro.Number >= r.Next {
 			return fmt.Errorf("record of job %s: occurrence %d is not due", j.ID, ro.Number)
 		}
+		if r.State.Final() && !ro.active() {
+			continue
+		}
 		o := j.openOccurrence(ro.Number)
 		if len(ro.Steps) != len(o.steps) {
 			return fmt.Errorf("record of job %s: %d steps, the job has %d", j.ID, len(ro.Steps), len(o.steps))
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -97,7 +97,7 @@
 	if o.openSteps--; o.openSteps > 0 {
 		return
 	}
-	delete(j.occurrences, o.number)
+	c.closeOccurrence(o)
 	if j.endedOccurrences++; j.endedOccurrences == j.Occurrences() {
 		c.finish(j, batch.Completed, now, wall)
 	}
@@ -330,9 +330,7 @@
 			t = j.findTask(run.Task)
 		}
 		if t == nil || !t.active() || t.run != run.Run || t.node != w.node || t.incarnation != w.info.Incarnation {
-			if t != nil {
-				w.orphaned = w.orphaned.Plus(t.step.spec.Reserved())
-			}
+			w.orphaned = w.orphaned.Plus(c.reservedBy(run.Task))
 			c.stopOrphan(w, run, now)
 			continue
 		}
@@ -396,6 +394,15 @@
 // maxEndsPerReport is the limit of ended runs in a worker's report. A report with as many may be incomplete.
 const maxEndsPerReport = 500
 
+// reservedBy returns the capacity that a task of a known job reserves, whether or not the task is open.
+func (c *Core) reservedBy(id batch.TaskID) batch.Resources {
+	j := c.jobs[id.Job]
+	if j == nil || id.Step >= len(j.Steps) {
+		return batch.Resources{}
+	}
+	return j.Steps[id.Step].Reserved()
+}
+
 // stopOrphan stops a run that is not assigned to the worker.
 func (c *Core) stopOrphan(w *worker, run batch.RunningTask, now time.Duration) {
 	name := run.Task.String()
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -107,13 +107,15 @@
 
 // ApplyIntakeEntry applies an entry of the intake as passed on by the process that wrote it, before the watch delivers
 // it. It returns false unless this process is the leader.
-func (s *Service) ApplyIntakeEntry(e kvstore.Entry) bool {
+func (s *Service) ApplyIntakeEntry(e kvstore.Entry) (full, isLeader bool) {
 	t := s.currentTerm()
 	if t == nil {
-		return false
+		return false, false
 	}
 	t.applyEvents([]kvstore.Event{{Entry: e}})
-	return true
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.memory.Full() || len(t.core.memory.FullTeams()) > 0, true
 }
 
 func (s *Service) setEntryAddress(r Registration) {
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"masticcart.example/masticcart/internal/batch"
@@ -141,10 +142,12 @@
 type job struct {
 	batch.Job
 	state            batch.State
-	started          bool // a task of it has started
-	occurrences      map[int]*occurrence
-	nextOccurrence   int // the first occurrence that has not become due
-	endedOccurrences int // number of completed occurrences
+	started          bool                // a task of it has started
+	occurrences      map[int]*occurrence // the open ones
+	openTasks        int                 // tasks of the open occurrences
+	nextOccurrence   int                 // the first occurrence that has not been opened
+	waitsForMemory   bool                // an occurrence is due and cannot be opened yet
+	endedOccurrences int                 // number of completed occurrences
 	finishedAt       time.Time
 	failure          string        // why the job has failed
 	learnedAt        time.Duration // when this leader learned of the job
@@ -189,9 +192,18 @@
 		o.steps = append(o.steps, s)
 	}
 	j.occurrences[number] = o
+	j.openTasks += j.Tasks()
 	return o
 }
 
+// progressed reports whether any task of the occurrence has run or failed.
+func (o *occurrence) progressed() bool {
+	return slices.ContainsFunc(o.steps, func(s *stepInstance) bool {
+		return s.gangFailures > 0 ||
+			slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase != waiting || t.run > 0 })
+	})
+}
+
 // findTask returns the task with an id, or nil.
 func (j *job) findTask(id batch.TaskID) *task {
 	o := j.occurrences[id.Occurrence]
