intake: a refusal at a limit looks the job up, and stores nothing meanwhile

While the leader was full, a submission that could not be looked up, for example because the store refused reads, was stored after all, so that a flood could fill the leader once it had used up the store's reads. At the limits of clients a submission that was stored before got 504.

Change: both refusals go through one check. A job that is stored gets 200, one of which this is not known 504, all others 503. At most two checks are made at a time.

The tests of intake pass.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -115,8 +115,8 @@
 	loadAt      time.Duration  // boottime when load was requested
 	lastArrival time.Duration  // boottime of the last submission that may be refused because of load
 	unresolved  unresolvedJobs
-	// refusalChecks is a semaphore that bounds the calls to the store on behalf of submissions that are refused because
-	// clients are at their limits. Without a check, the outcome of earlier submissions of the job is unknown.
+	// refusalChecks is a semaphore that bounds the calls to the store on behalf of submissions that are refused. Without a
+	// check, the outcome of earlier submissions of the job is unknown.
 	refusalChecks chan struct{}
 }
 
@@ -128,7 +128,7 @@
 		unresolved: unresolvedJobs{attempts: map[string]time.Duration{}, overflowAt: -unresolvedRetention}}
 }
 
-// maxRefusalChecks bounds the concurrent checks of submissions that are refused because clients are at their limits.
+// maxRefusalChecks bounds the concurrent checks of submissions that are refused at the limits of this entry or the leader.
 const maxRefusalChecks = 2
 
 // storedQueueLength bounds the stored entries that the leader has yet to be notified of.
@@ -261,9 +261,8 @@
 	if err != nil {
 		return s.logResponse("Submission refused", r, a, started, s.refusalOf(ctx, a.jobID, err))
 	}
-	if !s.leaderAccepts(a.team) && !s.mayBeStored(ctx, a.jobID) {
-		return s.logResponse("Submission refused", r, a, started,
-			Response{Outcome: Unavailable, RetryAfter: fullRetryAfter, Reason: leaderFullReason})
+	if !s.leaderAccepts(a.team) {
+		return s.logResponse("Submission refused", r, a, started, s.refuse(ctx, a.jobID, leaderFullReason, fullRetryAfter))
 	}
 	if refusal := s.refuseForLoad(ctx, job); refusal != nil {
 		return *refusal
@@ -280,18 +279,35 @@
 	switch {
 	case errors.Is(err, clientlimit.ErrTooLarge):
 		return Response{Outcome: TooLarge, Reason: err.Error()}
-	case !errors.Is(err, clientlimit.ErrOverloaded):
-		return Response{Outcome: Invalid, Reason: err.Error()}
+	case errors.Is(err, clientlimit.ErrOverloaded):
+		return s.refuse(ctx, id, err.Error(), clientlimit.RetryAfter)
 	}
+	return Response{Outcome: Invalid, Reason: err.Error()}
+}
+
+// refuse returns the response to a submission that is not to be stored now. An earlier submission of the job may have been
+// stored, or may be under way in this process.
+func (s *Service) refuse(ctx context.Context, id, reason string, retryAfter time.Duration) Response {
+	unknown := Response{Outcome: OutcomeUnknown, Reason: reason + "; an earlier submission of the job may be stored"}
 	select {
 	case s.refusalChecks <- struct{}{}:
 		defer func() { <-s.refusalChecks }()
-		if !s.mayBeStored(ctx, id) {
-			return Response{Outcome: Unavailable, Reason: err.Error(), RetryAfter: clientlimit.RetryAfter}
-		}
 	default:
+		return unknown
+	}
+	if s.isUnresolved(id) || s.storeSilent() {
+		return unknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := s.store.Get(ctx, scheduler.JobKey(id))
+	switch {
+	case err == nil:
+		return Response{Outcome: OK, Reason: "stored before"}
+	case !errors.Is(err, kvstore.ErrNotFound) || s.isUnresolved(id):
+		return unknown
 	}
-	return Response{Outcome: OutcomeUnknown, Reason: err.Error() + "; an earlier submission of the job may be stored"}
+	return Response{Outcome: Unavailable, Reason: reason + "; the job has not run and will not run", RetryAfter: retryAfter}
 }
 
 // storeSilent reports whether the store is out of reach of this process.
--- a/internal/intake/load.go
+++ b/internal/intake/load.go
@@ -141,7 +141,7 @@
 	return max(minLoadRefresh, time.Duration(float64(s.settings.MaxPendingAge)*loadRefreshFraction))
 }
 
-const leaderFullReason = "the scheduler holds as many jobs as its memory permits; the job has not run and will not run"
+const leaderFullReason = "the scheduler holds as many jobs as its memory permits"
 
 // leaderAccepts reports whether the leader has memory for a job of a team, by its last figures. An entry learns that there
 // is none from the leader's answer to a notification, and requests the figures regularly from then on.
