clientlimit: a test of bodies in chunks; mutants

With the descriptors of the test, 156 connections hold less than the memory of the process even if their bodies reserve nothing, so the process tests cannot tell these faults.

Change: TestBodyOfUnknownLengthIsReserved, without processes.

--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -156,6 +156,18 @@
 	s.until("everything is released", reservedBytes(0))
 }
 
+// Guards against a body in chunks whose memory is not reserved.
+func TestBodyOfUnknownLengthIsReserved(t *testing.T) {
+	s := newServer(t, bodyLimits)
+	conn := s.dial()
+	fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", testBodyLimit-1)
+	if _, err := conn.Write(make([]byte, testBodyLimit-1)); err != nil {
+		t.Fatal(err)
+	}
+	s.until("body is held", reservedBytes(testExpansion*testBodyLimit))
+	s.expect("second body", s.begin(testBodyLimit, testBodyLimit), http.StatusServiceUnavailable)
+}
+
 // Guards against bytes that are counted as free before the handler that uses them has returned.
 func TestBodyIsReservedUntilItsRequestIsHandled(t *testing.T) {
 	s := newServer(t, bodyLimits)
