clientlimit, abusetest: what the linter asks for

Cause: the linter had not run on the new packages: unchecked errors of Close, selectors of an embedded field, and a parameter of checkLimits that always has one value.

Change: no behaviour. checkLimits takes its bounds, which are the same, from the constants.

--- a/internal/abusetest/crowd_test.go
+++ b/internal/abusetest/crowd_test.go
@@ -91,7 +91,7 @@
 	defer w.mu.Unlock()
 	select {
 	case <-w.done:
-		conn.Close()
+		_ = conn.Close()
 		return false
 	default:
 		w.conns = append(w.conns, conn)
@@ -103,7 +103,7 @@
 	w.mu.Lock()
 	close(w.done)
 	for _, conn := range w.conns {
-		conn.Close()
+		_ = conn.Close()
 	}
 	w.mu.Unlock()
 	w.clients.Wait()
--- a/internal/abusetest/hosted_test.go
+++ b/internal/abusetest/hosted_test.go
@@ -116,7 +116,7 @@
 	h.t.Helper()
 	c.besiege(h.t, h.front, h.completeOneJob)
 	h.completeOneJob()
-	h.entry.checkLimits(entryMemoryMB, entryMaxFDs)
+	h.entry.checkLimits()
 }
 
 // submission is the head of a request that submits a job. All clients use one id, so that their jobs are one job.
@@ -188,7 +188,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		_ = conn.SetDeadline(time.Now().Add(patience))
 		if err := send(conn); err != nil {
 			t.Fatal(err)
@@ -197,5 +197,5 @@
 			t.Errorf("way %d to send the body: status %d", i, status)
 		}
 	}
-	h.entry.checkLimits(entryMemoryMB, entryMaxFDs)
+	h.entry.checkLimits()
 }
--- a/internal/abusetest/process_test.go
+++ b/internal/abusetest/process_test.go
@@ -100,9 +100,8 @@
 	return 0
 }
 
-// checkLimits fails the test unless the process is alive and has stayed within its memory and, if maxFDs is not zero, its
-// descriptors.
-func (p *process) checkLimits(memoryMB, maxFDs int) {
+// checkLimits fails the test unless the process, an entry, is alive and has stayed within its memory and its descriptors.
+func (p *process) checkLimits() {
 	p.t.Helper()
 	select {
 	case <-p.exited:
@@ -114,12 +113,13 @@
 	default:
 	}
 	peak := p.peakMemory()
-	p.t.Logf("%s: peak memory %d MB of %d, descriptors %d of %d", p.name, peak>>20, memoryMB, p.maxFDs.Load(), maxFDs)
-	if peak > int64(memoryMB)<<20 {
-		p.t.Errorf("%s: peak memory %d MB, the limit is %d", p.name, peak>>20, memoryMB)
+	p.t.Logf("%s: peak memory %d MB of %d, descriptors %d of %d", p.name, peak>>20, entryMemoryMB, p.maxFDs.Load(),
+		entryMaxFDs)
+	if peak > entryMemoryMB<<20 {
+		p.t.Errorf("%s: peak memory %d MB, the limit is %d", p.name, peak>>20, entryMemoryMB)
 	}
-	if maxFDs > 0 && p.maxFDs.Load() > int64(maxFDs) {
-		p.t.Errorf("%s: %d descriptors, the limit is %d", p.name, p.maxFDs.Load(), maxFDs)
+	if p.maxFDs.Load() > entryMaxFDs {
+		p.t.Errorf("%s: %d descriptors, the limit is %d", p.name, p.maxFDs.Load(), entryMaxFDs)
 	}
 }
 
--- a/internal/abusetest/standalone_test.go
+++ b/internal/abusetest/standalone_test.go
@@ -104,7 +104,7 @@
 	s.t.Helper()
 	c.besiege(s.t, s.address, s.completeOneJob)
 	s.completeOneJob()
-	s.entry.checkLimits(entryMemoryMB, entryMaxFDs)
+	s.entry.checkLimits()
 	log, err := os.ReadFile(s.entry.logPath)
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/abusetest/tasks_test.go
+++ b/internal/abusetest/tasks_test.go
@@ -37,11 +37,11 @@
 // restart kills the entry and starts it again, so that it restores all jobs.
 func (h *hosted) restart() {
 	h.t.Helper()
-	h.entry.checkLimits(entryMemoryMB, entryMaxFDs)
+	h.entry.checkLimits()
 	h.entry.kill()
 	h.entry = startHostedProcess(h.t, h.settings)
 	h.completeOneJob()
-	h.entry.checkLimits(entryMemoryMB, entryMaxFDs)
+	h.entry.checkLimits()
 }
 
 // Guards against a leader that holds all tasks of all accepted jobs in memory. Those of one such job take twice the memory
@@ -87,7 +87,7 @@
 		status, _ := h.call(http.MethodGet, 0, "")
 		return status == http.StatusOK
 	})
-	h.entry.checkLimits(entryMemoryMB, entryMaxFDs)
+	h.entry.checkLimits()
 }
 
 // firstCrowdID is the first id of the jobs of a crowd.
--- a/internal/clientlimit/body.go
+++ b/internal/clientlimit/body.go
@@ -37,7 +37,7 @@
 		p := serving
 		if r.Body != nil && r.Body != http.NoBody {
 			p = receiving
-			if err := c.Conn.SetReadDeadline(time.Now().Add(c.limiter.limits.BodyTimeout)); err != nil {
+			if err := c.SetReadDeadline(time.Now().Add(c.limiter.limits.BodyTimeout)); err != nil {
 				klog.V(1).InfoS("Read deadline not set", "err", err)
 			}
 		}
@@ -70,7 +70,7 @@
 		// The deadline must be cleared while the connection cannot be evicted, or it would be cleared after an eviction.
 		if !c.enter(serving) {
 			err = ErrOverloaded
-		} else if deadlineErr := c.Conn.SetReadDeadline(time.Time{}); deadlineErr != nil {
+		} else if deadlineErr := c.SetReadDeadline(time.Time{}); deadlineErr != nil {
 			err = fmt.Errorf("%w: %w", ErrIncomplete, deadlineErr)
 		}
 	}
--- a/internal/clientlimit/connection.go
+++ b/internal/clientlimit/connection.go
@@ -74,7 +74,7 @@
 		}
 		c := &connection{Conn: accepted, limiter: l.limiter}
 		if !l.limiter.admit(c) {
-			accepted.Close()
+			_ = accepted.Close()
 			continue
 		}
 		if t, ok := accepted.(*net.TCPConn); ok {
@@ -93,11 +93,11 @@
 	hasRequest := c.phase == receiving
 	c.limiter.mu.Unlock()
 	if !hasRequest {
-		c.Conn.Close()
+		_ = c.Close()
 		return
 	}
-	if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
-		c.Conn.Close()
+	if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		_ = c.Close()
 	}
 }
 
@@ -117,7 +117,7 @@
 		timeout = evictedWriteTimeout
 	}
 	c.limiter.mu.Unlock()
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
@@ -130,5 +130,5 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
-	return c.Conn.Close()
+	return c.Close()
 }
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		s.Fatal(err)
 	}
-	s.Cleanup(func() { conn.Close() })
+	s.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
 	return conn
 }
@@ -185,7 +185,7 @@
 	s := newServer(t, bodyLimits)
 	held := s.begin(testBodyLimit, testBodyLimit-1)
 	s.until("body is held", reservedBytes(testExpansion*testBodyLimit))
-	held.Close()
+	_ = held.Close()
 	s.until("everything is released", func(l *Limiter) bool { return l.bodies == 0 && l.open == 0 })
 }
 
