jobmemory: one team leaves room for the large jobs of others

Looking at it, the large jobs of one team could take the whole share of large jobs, so those of other teams waited until they ended.

Change: a team gets three quarters of the share of large jobs, too. The test uses jobs of 500 tasks, of two teams.

Measured: TestLargeJobsLeaveRoom counts 9 jobs of 500 tasks for the first team and 3 for the second; with the code before the first team had 12 by calculation.

--- a/internal/scheduler/jobmemory/account.go
+++ b/internal/scheduler/jobmemory/account.go
@@ -24,7 +24,7 @@
 	// largeFraction is the share of the tasks that jobs with more than smallJobTasks open tasks may take, unless they are
 	// urgent, so that small jobs are opened in any case.
 	largeFraction = 0.6
-	// teamFraction is the share of the tasks, and of the memory for jobs, that one team may take.
+	// teamFraction is the share of each of these, and of the memory for jobs, that one team may take.
 	teamFraction = 0.75
 	// smallJobTasks is the number of open tasks up to which a job counts as small.
 	smallJobTasks = 64
@@ -36,16 +36,15 @@
 type Account struct {
 	maxJobBytes int64 // negative for no limit
 	maxTasks    int
-	jobs        int64 // bytes
-	tasks       int
-	largeTasks  int // those of jobs that are not small
+	all         usage
 	teams       map[string]*usage
 }
 
-// usage is what the jobs of one team take.
+// usage is what jobs take.
 type usage struct {
-	jobs  int64 // bytes
-	tasks int
+	jobs       int64 // bytes
+	tasks      int
+	largeTasks int // those of jobs that are not small
 }
 
 // New returns an account with a limit in bytes. Zero means no limit.
@@ -74,7 +73,7 @@
 func (a *Account) Remove(j *batch.Job) { a.addJobs(j.Team, -sizeOf(j)) }
 
 func (a *Account) addJobs(team string, bytes int64) {
-	a.jobs += bytes
+	a.all.jobs += bytes
 	a.team(team).jobs += bytes
 	a.forgetUnused(team)
 }
@@ -96,9 +95,10 @@
 
 // Resize records that the number of open tasks of a job has changed.
 func (a *Account) Resize(team string, before, after int) {
-	a.tasks += after - before
-	a.largeTasks += large(after) - large(before)
-	a.team(team).tasks += after - before
+	for _, u := range [...]*usage{&a.all, a.team(team)} {
+		u.tasks += after - before
+		u.largeTasks += large(after) - large(before)
+	}
 	a.forgetUnused(team)
 }
 
@@ -126,22 +126,26 @@
 		return true
 	}
 	total := o.OpenTasks + o.Tasks
-	within := func(limit, inUse int) bool { return inUse+o.Tasks <= limit || inUse == 0 && o.Tasks <= a.maxTasks }
-	switch {
-	case o.OpenTasks > 0 && (total > batch.MaxJobTasks || o.OpenOccurrences >= maxOpenOccurrences):
+	if o.OpenTasks > 0 && (total > batch.MaxJobTasks || o.OpenOccurrences >= maxOpenOccurrences) {
 		return false
-	case a.tasks+o.Tasks > a.maxTasks, !within(int(float64(a.maxTasks)*teamFraction), a.team(o.Team).tasks):
-		a.forgetUnused(o.Team)
+	}
+	var team usage
+	if u := a.teams[o.Team]; u != nil {
+		team = *u
+	}
+	fits := func(inUse, added int, share float64) bool {
+		return inUse+added <= int(float64(a.maxTasks)*share) || inUse == 0 && added <= a.maxTasks
+	}
+	if !fits(a.all.tasks, o.Tasks, 1) || !fits(team.tasks, o.Tasks, teamFraction) {
 		return false
-	case o.Urgent || large(total) == 0:
-		return true
 	}
-	largeLimit := int(float64(a.maxTasks) * largeFraction)
-	return a.largeTasks-large(o.OpenTasks)+total <= largeLimit || a.largeTasks == 0 && total <= a.maxTasks
+	added := large(total) - large(o.OpenTasks)
+	return o.Urgent || added == 0 ||
+		fits(a.all.largeTasks, added, largeFraction) && fits(team.largeTasks, added, largeFraction*teamFraction)
 }
 
 // Full reports whether no further jobs are to be accepted, from any team.
-func (a *Account) Full() bool { return a.maxJobBytes >= 0 && a.jobs > a.maxJobBytes }
+func (a *Account) Full() bool { return a.maxJobBytes >= 0 && a.all.jobs > a.maxJobBytes }
 
 // FullTeams returns the teams from which no further jobs are to be accepted, in alphabetical order.
 func (a *Account) FullTeams() []string {
@@ -159,4 +163,4 @@
 }
 
 // Tasks returns the number of open tasks, and of those of jobs that are not small.
-func (a *Account) Tasks() (all, large int) { return a.tasks, a.largeTasks }
+func (a *Account) Tasks() (all, large int) { return a.all.tasks, a.all.largeTasks }
--- a/internal/scheduler/jobmemory/account_test.go
+++ b/internal/scheduler/jobmemory/account_test.go
@@ -8,8 +8,8 @@
 	"masticcart.example/masticcart/internal/batch"
 )
 
-// limit has room for 10,000 open tasks.
-const limit = 10_000 * taskBytes * 10 / 6
+// limit has room for a few more than 10,000 open tasks.
+const limit = 10_000*taskBytes*10/6 + 10*taskBytes
 
 // open opens an occurrence of a job if it may be opened.
 func open(a *Account, o Occurrence) bool {
@@ -20,31 +20,35 @@
 	return true
 }
 
-// Load: jobs of as many tasks as a job may have. Guards against open tasks beyond the limit, and against small or urgent
-// jobs and jobs of other teams that are not opened because of them.
+// Load: jobs of many tasks from one team, then from another. Guards against open tasks beyond the limit, and against small or
+// urgent jobs and large jobs of other teams that are not opened because of them.
 func TestLargeJobsLeaveRoom(t *testing.T) {
 	a := New(limit)
 	opened := 0
-	for open(a, Occurrence{Team: "a", Tasks: batch.MaxJobTasks}) {
+	for open(a, Occurrence{Team: "a", Tasks: 500}) {
 		opened++
 	}
-	if opened != 1 {
-		t.Errorf("%d large jobs are open, want 1 of at most 6,000 tasks", opened)
+	if opened != 9 {
+		t.Errorf("%d large jobs of one team are open, want 9 in three quarters of 6,000", opened)
+	}
+	opened = 0
+	for open(a, Occurrence{Team: "b", Tasks: 500}) {
+		opened++
+	}
+	if opened != 3 {
+		t.Errorf("%d large jobs of another team are open, want 3 in the rest of 6,000", opened)
 	}
 	if !open(a, Occurrence{Team: "a", Tasks: smallJobTasks}) {
 		t.Error("a small job of the same team is not opened")
 	}
-	if !open(a, Occurrence{Team: "b", Tasks: 1000}) {
-		t.Error("a job of another team is not opened")
-	}
 	if !open(a, Occurrence{Team: "b", Urgent: true, Tasks: 3000}) {
 		t.Error("an urgent job is not opened")
 	}
 	for range 1000 {
-		open(a, Occurrence{Team: "b", Urgent: true, Tasks: 64})
+		open(a, Occurrence{Team: "b", Urgent: true, Tasks: smallJobTasks})
 	}
-	if a.tasks > a.maxTasks || a.tasks <= a.maxTasks-64 {
-		t.Errorf("%d tasks are open, the limit is %d", a.tasks, a.maxTasks)
+	if a.all.tasks > a.maxTasks || a.all.tasks <= a.maxTasks-smallJobTasks {
+		t.Errorf("%d tasks are open, the limit is %d", a.all.tasks, a.maxTasks)
 	}
 }
 
@@ -87,10 +91,10 @@
 	for !a.Full() {
 		a.Add(job("b"))
 	}
-	if over := a.jobs - a.maxJobBytes; over > sizeOf(job("b")) {
+	if over := a.all.jobs - a.maxJobBytes; over > sizeOf(job("b")) {
 		t.Errorf("%d bytes over the limit", over)
 	}
-	for a.jobs > 0 {
+	for a.all.jobs > 0 {
 		team := "a"
 		if a.teams["a"] == nil {
 			team = "b"
