clientlimit, abusetest: the usual terms

Cause: read as a newcomer, some names were private: kept, unproven, leaving, besiege, endure, patience.

Change: names and comments only.

--- a/internal/abusetest/crowd_test.go
+++ b/internal/abusetest/crowd_test.go
@@ -26,7 +26,7 @@
 }
 
 const (
-	// waves is how often the crowd comes, each time on new connections.
+	// waves is the number of times that the clients connect, one after the other.
 	waves = 3
 	// maxConnections is the number of connections that a client makes in one wave.
 	maxConnections = 3
@@ -35,9 +35,9 @@
 	dialTimeout = 10 * time.Second
 )
 
-// besiege lets the crowd come to an address. In each wave, once every client has sent everything on its first connection,
-// it calls whileOpen and then closes the connections.
-func (c crowd) besiege(t *testing.T, address string, whileOpen func()) {
+// run connects the clients to an address. In each wave, once every client has sent everything on its first connection, it
+// calls whileOpen and then closes the connections.
+func (c crowd) run(t *testing.T, address string, whileOpen func()) {
 	t.Helper()
 	for range waves {
 		w := &wave{crowd: c, address: address, done: make(chan struct{})}
@@ -51,7 +51,7 @@
 	}
 }
 
-// wave is one visit of a crowd.
+// wave is the state of the clients while they are connected.
 type wave struct {
 	crowd
 	address string
--- a/internal/abusetest/hosted_test.go
+++ b/internal/abusetest/hosted_test.go
@@ -110,11 +110,11 @@
 	})
 }
 
-// endure lets a crowd come, and checks that a job is completed while its connections are open and that the entry stays
+// checkWith connects a crowd, and checks that a job is completed while its connections are open and that the entry stays
 // within its limits.
-func (h *hosted) endure(c crowd) {
+func (h *hosted) checkWith(c crowd) {
 	h.t.Helper()
-	c.besiege(h.t, h.front, h.completeOneJob)
+	c.run(h.t, h.front, h.completeOneJob)
 	h.completeOneJob()
 	h.entry.checkLimits()
 }
@@ -131,22 +131,22 @@
 
 // Guards against an entry that holds all unfinished bodies in memory.
 func TestUnfinishedBodies(t *testing.T) {
-	startHosted(t).endure(crowd{clients: crowdClients, send: unfinished(submission, paddedJob(maxBody), maxBody)})
+	startHosted(t).checkWith(crowd{clients: crowdClients, send: unfinished(submission, paddedJob(maxBody), maxBody)})
 }
 
 // Guards against an entry that holds all unfinished bodies that come in pieces.
 func TestUnfinishedBodiesInPieces(t *testing.T) {
-	startHosted(t).endure(crowd{clients: crowdClients, send: unfinished(submission, paddedJob(maxBody), 8<<10)})
+	startHosted(t).checkWith(crowd{clients: crowdClients, send: unfinished(submission, paddedJob(maxBody), 8<<10)})
 }
 
 // Guards against an entry that holds all unfinished bodies of unknown length.
 func TestUnfinishedChunkedBodies(t *testing.T) {
-	startHosted(t).endure(crowd{clients: crowdClients, send: unfinishedChunked(submission, paddedJob(maxBody), 64<<10)})
+	startHosted(t).checkWith(crowd{clients: crowdClients, send: unfinishedChunked(submission, paddedJob(maxBody), 64<<10)})
 }
 
 // Guards against an entry that holds all unfinished bodies of very small chunks.
 func TestUnfinishedBodiesOfSmallChunks(t *testing.T) {
-	startHosted(t).endure(crowd{clients: crowdClients, send: unfinishedChunked(submission, paddedJob(maxBody/2), 2)})
+	startHosted(t).checkWith(crowd{clients: crowdClients, send: unfinishedChunked(submission, paddedJob(maxBody/2), 2)})
 }
 
 // Guards against bodies that take far more memory when they are decoded: many steps, many dependencies.
@@ -157,25 +157,25 @@
 	labels := fmt.Sprintf(`{"spec":"10","steps":[{"count":1,"requiredLabel":%q}]}`, strings.Repeat("<", maxBody-128))
 	for name, body := range map[string]string{"steps": steps, "dependencies": dependencies, "labels": labels} {
 		t.Run(name, func(t *testing.T) {
-			startHosted(t).endure(crowd{clients: crowdClients, send: whole(submission, []byte(body))})
+			startHosted(t).checkWith(crowd{clients: crowdClients, send: whole(submission, []byte(body))})
 		})
 	}
 }
 
 // Guards against connections that take all descriptors, or all that the entry needs for the store and its agents.
 func TestSilentConnections(t *testing.T) {
-	startHosted(t).endure(crowd{clients: crowdClients, send: silent})
+	startHosted(t).checkWith(crowd{clients: crowdClients, send: silent})
 }
 
 // Guards against an entry that holds endless headers.
 func TestEndlessHeaders(t *testing.T) {
-	startHosted(t).endure(crowd{clients: crowdClients, send: endlessHeader(submission)})
+	startHosted(t).checkWith(crowd{clients: crowdClients, send: endlessHeader(submission)})
 }
 
 // Guards against connections that are held for ever by clients that read no response.
 func TestUnreadResponses(t *testing.T) {
 	unauthorized := request{method: "GET", path: "/q/", header: "Host: h.example\r\n"}
-	startHosted(t).endure(crowd{clients: crowdClients, send: pipelined(unauthorized, 2000), readsNothing: true})
+	startHosted(t).checkWith(crowd{clients: crowdClients, send: pipelined(unauthorized, 2000), readsNothing: true})
 }
 
 // Guards against limits that a single caller within the limits of the platform meets: the largest body, also when it
@@ -189,7 +189,7 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = conn.Close() }()
-		_ = conn.SetDeadline(time.Now().Add(patience))
+		_ = conn.SetDeadline(time.Now().Add(testTimeout))
 		if err := send(conn); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/abusetest/process_test.go
+++ b/internal/abusetest/process_test.go
@@ -123,15 +123,15 @@
 	}
 }
 
-// patience bounds every wait of a test. It only ends a test whose process hangs.
-const patience = 2 * time.Minute
+// testTimeout bounds every wait of a test. It only ends a test whose process hangs.
+const testTimeout = 2 * time.Minute
 
-// eventually fails the test if ok does not return true within the test's patience.
+// eventually fails the test if ok does not return true within testTimeout.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	for end := time.Now().Add(patience); !ok(); {
+	for end := time.Now().Add(testTimeout); !ok(); {
 		if time.Now().After(end) {
-			t.Fatalf("%s: not within %v", what, patience)
+			t.Fatalf("%s: not within %v", what, testTimeout)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/abusetest/standalone_test.go
+++ b/internal/abusetest/standalone_test.go
@@ -98,11 +98,11 @@
 	})
 }
 
-// endure is hosted.endure for a stand-alone entry. The kernel enforces the limit on descriptors, so the check is that the
+// checkWith is hosted.checkWith for a stand-alone entry. The kernel enforces the limit on descriptors, so the check is that the
 // process has never met it.
-func (s *standalone) endure(c crowd) {
+func (s *standalone) checkWith(c crowd) {
 	s.t.Helper()
-	c.besiege(s.t, s.address, s.completeOneJob)
+	c.run(s.t, s.address, s.completeOneJob)
 	s.completeOneJob()
 	s.entry.checkLimits()
 	log, err := os.ReadFile(s.entry.logPath)
@@ -128,12 +128,12 @@
 
 // Guards against a stand-alone entry that holds all unfinished bodies in memory.
 func TestStandaloneUnfinishedBodies(t *testing.T) {
-	startStandalone(t).endure(crowd{clients: standaloneClients, send: unfinished(apiRequest(api.PathJobs), largeJob(), 8<<10)})
+	startStandalone(t).checkWith(crowd{clients: standaloneClients, send: unfinished(apiRequest(api.PathJobs), largeJob(), 8<<10)})
 }
 
 // Guards against a stand-alone entry that holds all unfinished bodies of unknown length.
 func TestStandaloneUnfinishedChunkedBodies(t *testing.T) {
-	startStandalone(t).endure(crowd{clients: standaloneClients,
+	startStandalone(t).checkWith(crowd{clients: standaloneClients,
 		send: unfinishedChunked(apiRequest(api.PathJobs), largeJob(), 64<<10)})
 }
 
@@ -142,17 +142,17 @@
 func TestStandaloneExpensiveQueries(t *testing.T) {
 	const condition = " and team = a"
 	text := "show jobs where state = waiting" + strings.Repeat(condition, query.MaxTextBytes/len(condition)-4)
-	startStandalone(t).endure(crowd{clients: standaloneClients,
+	startStandalone(t).checkWith(crowd{clients: standaloneClients,
 		send: whole(apiRequest(api.PathQuery), fmt.Appendf(nil, `{"query":%q}`, text))})
 }
 
 // Guards against connections that take all descriptors of a stand-alone entry.
 func TestStandaloneSilentConnections(t *testing.T) {
-	startStandalone(t).endure(crowd{clients: crowdClients, send: silent})
+	startStandalone(t).checkWith(crowd{clients: crowdClients, send: silent})
 }
 
 // Guards against a stand-alone entry that holds connections for ever whose clients read no response.
 func TestStandaloneUnreadResponses(t *testing.T) {
 	unauthorized := request{method: "GET", path: api.PathConfig, header: "Host: entry\r\n"}
-	startStandalone(t).endure(crowd{clients: crowdClients, send: pipelined(unauthorized, 2000), readsNothing: true})
+	startStandalone(t).checkWith(crowd{clients: crowdClients, send: pipelined(unauthorized, 2000), readsNothing: true})
 }
--- a/internal/clientlimit/body.go
+++ b/internal/clientlimit/body.go
@@ -54,7 +54,7 @@
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	c.limiter.releaseBody(c)
-	c.limiter.enter(c, kept)
+	c.limiter.enter(c, idle)
 }
 
 // ReadBody reads the whole body of a request. The memory for it and for what it is decoded to, which is estimated as
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -25,8 +25,8 @@
 type phase int
 
 const (
-	unproven   phase = iota // no request has been answered yet, and none is being served
-	kept                    // waits for the next request
+	unserved   phase = iota // no request has been answered yet, and none is being served
+	idle                    // waits for the next request
 	receiving               // the body of a request is being read
 	serving                 // a request is complete and not answered yet
 	responding              // a write of a response has not returned
@@ -39,15 +39,15 @@
 	metrics tally.Scope
 	now     func() time.Time
 
-	mu       sync.Mutex
-	byPhase  [phases]list.List // of *connection; evicted ones are in none
-	open     int               // connections that are not evicted and whose goroutine has not ended
-	closing  int               // evicted connections whose goroutine has not ended
-	bodies   int64             // reserved bytes
-	leaving  int64             // those of them that evicted connections hold
-	released chan struct{}     // closed and replaced when bytes or an evicted connection have been released
-	counts   counts
-	loggedAt time.Time
+	mu           sync.Mutex
+	byPhase      [phases]list.List // of *connection; evicted ones are in none
+	open         int               // connections that are not evicted and whose goroutine has not ended
+	closing      int               // evicted connections whose goroutine has not ended
+	bodyBytes    int64             // reserved bytes
+	evictedBytes int64             // those of them that evicted connections hold
+	released     chan struct{}     // closed and replaced when bytes or an evicted connection have been released
+	counts       counts
+	loggedAt     time.Time
 }
 
 // counts are the events since the last log line.
@@ -92,13 +92,13 @@
 	return c
 }
 
-// leastUseful returns the connection that gives way to a new one, or nil if all are in use. A request that is being served
+// evictionCandidate returns the connection that gives way to a new one, or nil if all are in use. A request that is being served
 // never gives way. The caller holds the mutex.
-func (l *Limiter) leastUseful() *connection {
+func (l *Limiter) evictionCandidate() *connection {
 	for _, candidate := range [...]struct {
 		phase   phase
 		atLeast time.Duration
-	}{{unproven, gracePeriod}, {kept, 0}, {receiving, gracePeriod}, {responding, gracePeriod}, {unproven, 0}} {
+	}{{unserved, gracePeriod}, {idle, 0}, {receiving, gracePeriod}, {responding, gracePeriod}, {unserved, 0}} {
 		if c := l.oldest(candidate.phase, candidate.atLeast); c != nil {
 			return c
 		}
@@ -113,7 +113,7 @@
 	c.element = nil
 	l.open--
 	l.closing++
-	l.leaving += c.reserved
+	l.evictedBytes += c.reserved
 	l.counts.evicted++
 	l.metrics.Counter("evicted").Inc(1)
 }
@@ -129,7 +129,7 @@
 	}
 	var victim *connection
 	if l.open >= l.limits.Connections-l.maxClosing() {
-		if victim = l.leastUseful(); victim == nil {
+		if victim = l.evictionCandidate(); victim == nil {
 			l.counts.refusedConnections++
 			l.metrics.Counter("refused_connections").Inc(1)
 			l.logCounts()
@@ -140,8 +140,8 @@
 		l.logCounts()
 	}
 	l.open++
-	c.phase, c.since = unproven, l.now()
-	c.element = l.byPhase[unproven].PushBack(c)
+	c.phase, c.since = unserved, l.now()
+	c.element = l.byPhase[unserved].PushBack(c)
 	l.mu.Unlock()
 	if victim != nil {
 		victim.interrupt()
@@ -189,13 +189,13 @@
 		case c.reserved+n > l.limits.BodyBytes:
 			l.mu.Unlock()
 			return ErrTooLarge
-		case l.bodies+n <= l.limits.BodyBytes:
-			l.bodies += n
+		case l.bodyBytes+n <= l.limits.BodyBytes:
+			l.bodyBytes += n
 			c.reserved += n
 			l.mu.Unlock()
 			return nil
 		}
-		victims, enough := l.evictBodies(c, l.bodies+n-l.limits.BodyBytes)
+		victims, enough := l.evictBodies(c, l.bodyBytes+n-l.limits.BodyBytes)
 		released := l.released
 		if !enough {
 			l.counts.refusedBodies++
@@ -221,7 +221,7 @@
 // the evicted ones hold at least n bytes. If there are not enough, it evicts none and returns false. The caller holds the
 // mutex, and interrupts the victims without it.
 func (l *Limiter) evictBodies(except *connection, n int64) (victims []*connection, enough bool) {
-	n -= l.leaving
+	n -= l.evictedBytes
 	for e := l.byPhase[receiving].Front(); n > 0 && e != nil; e = e.Next() {
 		c, _ := e.Value.(*connection)
 		if l.now().Sub(c.since) < gracePeriod {
@@ -246,9 +246,9 @@
 	if c.reserved == 0 {
 		return
 	}
-	l.bodies -= c.reserved
+	l.bodyBytes -= c.reserved
 	if c.element == nil {
-		l.leaving -= c.reserved
+		l.evictedBytes -= c.reserved
 	}
 	c.reserved = 0
 	l.notifyReleased()
@@ -258,7 +258,7 @@
 func (l *Limiter) logCounts() {
 	if now := l.now(); now.Sub(l.loggedAt) >= logInterval {
 		klog.InfoS("Clients at their limits", "evicted", l.counts.evicted, "refusedConnections", l.counts.refusedConnections,
-			"refusedBodies", l.counts.refusedBodies, "open", l.open, "bodyBytes", l.bodies)
+			"refusedBodies", l.counts.refusedBodies, "open", l.open, "bodyBytes", l.bodyBytes)
 		l.loggedAt, l.counts = now, counts{}
 	}
 }
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -132,7 +132,7 @@
 }
 
 func reservedBytes(n int64) func(*Limiter) bool {
-	return func(l *Limiter) bool { return l.bodies == n }
+	return func(l *Limiter) bool { return l.bodyBytes == n }
 }
 
 func inPhase(p phase, n int) func(*Limiter) bool {
@@ -186,7 +186,7 @@
 	held := s.begin(testBodyLimit, testBodyLimit-1)
 	s.until("body is held", reservedBytes(testExpansion*testBodyLimit))
 	_ = held.Close()
-	s.until("everything is released", func(l *Limiter) bool { return l.bodies == 0 && l.open == 0 })
+	s.until("everything is released", func(l *Limiter) bool { return l.bodyBytes == 0 && l.open == 0 })
 }
 
 // Guards against a wait for memory that can never be free.
@@ -211,9 +211,9 @@
 	s := newServer(t, limits)
 	served := s.begin(holdLength, holdLength)
 	s.until("request is served", inPhase(serving, 1))
-	idle := s.begin(1, 1)
-	s.expect("idle client", idle, http.StatusOK)
-	s.until("client is idle", inPhase(kept, 1))
+	idleClient := s.begin(1, 1)
+	s.expect("idle client", idleClient, http.StatusOK)
+	s.until("client is idle", inPhase(idle, 1))
 	var silent []net.Conn
 	for range limits.Connections - 3 {
 		silent = append(silent, s.dial())
@@ -225,12 +225,12 @@
 		s.until("one is closed", func(l *Limiter) bool { return l.closing == 0 })
 		s.expect(fmt.Sprint("silent client ", i), conn, 0)
 	}
-	if s.limiter.mu.Lock(); s.limiter.byPhase[kept].Len() != limits.Connections-2 {
-		t.Errorf("%d idle connections, want %d", s.limiter.byPhase[kept].Len(), limits.Connections-2)
+	if s.limiter.mu.Lock(); s.limiter.byPhase[idle].Len() != limits.Connections-2 {
+		t.Errorf("%d idle connections, want %d", s.limiter.byPhase[idle].Len(), limits.Connections-2)
 	}
 	s.limiter.mu.Unlock()
 	s.expect("another new client", s.begin(1, 1), http.StatusOK)
-	s.expect("idle client", idle, 0)
+	s.expect("idle client", idleClient, 0)
 	close(s.hold)
 	s.expect("served client", served, http.StatusOK)
 }
