abusetest: bodies of jobs come from platform/standin

Change: LabelledJob in platform/standin builds the same bodies; the job with a long label has a need of one thousandth of a core in addition.

--- a/internal/abusetest/hosted_test.go
+++ b/internal/abusetest/hosted_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -154,7 +153,7 @@
 	step := `{"count":1},`
 	steps := `{"spec":"10","steps":[` + strings.Repeat(step, maxBody/len(step)-4) + `{"count":1}]}`
 	dependencies := `{"spec":"10","steps":[{"count":1},{"count":1,"after":[` + strings.Repeat("0,", maxBody/2-64) + `0]}]}`
-	labels := fmt.Sprintf(`{"spec":"10","steps":[{"count":1,"requiredLabel":%q}]}`, strings.Repeat("<", maxBody-128))
+	labels := standin.LabelledJob("10", strings.Repeat("<", maxBody-128), 0, 1)
 	for name, body := range map[string]string{"steps": steps, "dependencies": dependencies, "labels": labels} {
 		t.Run(name, func(t *testing.T) {
 			startHosted(t).checkWith(crowd{clients: crowdClients, send: whole(submission, []byte(body))})
--- a/internal/abusetest/tasks_test.go
+++ b/internal/abusetest/tasks_test.go
@@ -2,26 +2,23 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"masticcart.example/masticcart/platform/standin"
 )
 
-// largestJob returns a job of as many tasks as the format allows, each of which waits for a label that no worker has.
-// repeat is the number of occurrences, all of which are due.
+// noWorker is a label that no worker has, so that the tasks of a job wait.
+const noWorker = "none"
+
+// largestJob returns a job of as many tasks as the format allows, each of which waits. repeat is the number of occurrences,
+// all of which are due.
 func largestJob(repeat int) string {
-	steps := strings.Repeat(`{"count":4096,"cpu":1,"requiredLabel":"none"},`, 63) + `{"count":4096,"cpu":1,"requiredLabel":"none"}`
-	recurrence := ""
-	if repeat > 0 {
-		recurrence = fmt.Sprintf(`,"repeatCount":%d,"firstMs":%d,"intervalMs":1`, repeat, time.Now().Add(-time.Hour).UnixMilli())
-	}
-	return fmt.Sprintf(`{"spec":"10","steps":[%s]%s}`, steps, recurrence)
+	return standin.LabelledJob("10", noWorker, repeat, slices.Repeat([]int{4096}, 64)...)
 }
 
 // submitEach submits jobs under ids of their own. An entry may refuse them.
@@ -58,7 +55,7 @@
 // Guards against a leader that holds all tasks of many jobs, each of which has as many as one step may have.
 func TestManyJobsOfManyTasks(t *testing.T) {
 	h := startHosted(t)
-	h.submitFrom(200, 20, `{"spec":"10","steps":[{"count":4096,"cpu":1,"requiredLabel":"none"}]}`)
+	h.submitFrom(200, 20, standin.LabelledJob("10", noWorker, 0, 4096))
 	h.completeOneJob()
 	h.restart()
 }
@@ -66,8 +63,7 @@
 // Guards against a leader that opens all occurrences of a job that are due. Each has few tasks, all together 1,280,000.
 func TestManyDueOccurrences(t *testing.T) {
 	h := startHosted(t)
-	h.submitEach(fmt.Sprintf(`{"spec":"10","steps":[{"count":128,"cpu":1,"requiredLabel":"none"}],`+
-		`"repeatCount":10000,"firstMs":%d,"intervalMs":1}`, time.Now().Add(-time.Hour).UnixMilli()))
+	h.submitEach(standin.LabelledJob("10", noWorker, 10_000, 128))
 	h.completeOneJob()
 	h.submitEach(largestJob(10_000))
 	h.completeOneJob()
@@ -78,7 +74,7 @@
 // but they are answered.
 func TestManySmallJobs(t *testing.T) {
 	h := startHosted(t)
-	h.submitFrom(60_000, 100, `{"spec":"`+strings.Repeat("x", 2000)+`","steps":[{"count":1,"cpu":1,"requiredLabel":"none"}]}`)
+	h.submitFrom(60_000, 100, standin.LabelledJob(strings.Repeat("x", 2000), noWorker, 0, 1))
 	eventually(t, "a submission is answered", func() bool {
 		status, _ := h.call(http.MethodPost, h.nextID, standin.FourTaskJob(10))
 		return status == http.StatusOK || status == http.StatusServiceUnavailable
