review/15: an executor that closes its channels while it drains gets no order

Cause: a new connection to an executor is used only if the answer that identifies it leaves it open. So an executor that closes each channel with its answer gets no stop, no lease and no acknowledgement.

Change: a case in which one of eleven executors drains that way and a client cancels the job on it.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of the deploy file and review/build-3.sh first"
   exit 2
 fi
-exec "$root/target/review-3/review3" reborn "$root" "$PWD"
+exec "$root/target/review-3/review3" closing "$root" "$PWD"
