scheduler: a refused start goes to another worker

Cause: after a refusal the task was requeued and nothing was noted of the worker, and placement is a function of capacity alone, so it chose the same worker again. Each attempt also began the 2 s anew after which a job that has nothing running starts regardless.

Change: package refusal keeps the refusals of a worker. The agent reports the refusals, so the next leader has them. A job is idle until a run has started. A start that the leader itself may not send has a verdict of its own and says nothing of the worker.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -94,4 +94,5 @@
 	VerdictNoCapacity     Verdict = "no-room"
 	VerdictRefused        Verdict = "refused" // for example by an unhealthy worker
 	VerdictOldIncarnation Verdict = "old-life"
+	VerdictNotSent        Verdict = "not-sent" // the leader may not send the order; that says nothing of the worker
 )
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/refusal"
 )
 
 // Methods that an agent serves to the leader.
@@ -88,6 +89,9 @@
 	NotListening bool `json:"no_listener,omitempty"`
 	// Speed is the last estimate that a leader has sent for the incarnation that the agent serves, nil for none.
 	Speed *Speed `json:"speed,omitempty"`
+	// Refusals says which starts the worker has refused, for a leader that has not seen it. It is nil if the worker has
+	// accepted the last one.
+	Refusals *refusal.Summary `json:"refusals,omitempty"`
 }
 
 // StartRequest starts one run of a task. LeaseUntilMS is the end of its lease in milliseconds on the worker's clock.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,8 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/boottime"
+	"masticcart.example/masticcart/internal/refusal"
 	"masticcart.example/masticcart/internal/rpc"
 )
 
@@ -67,6 +69,8 @@
 	unconfirmed   []*batch.Worker   // announcements of incarnations that have not answered, the newest last
 	deregistered  batch.Incarnation // has announced its end and not announced itself since; zero for none
 	speed         *Speed            // the last estimate of a leader; nil for none
+	refusals      refusal.History   // of starts by the incarnation refusedBy
+	refusedBy     batch.Incarnation // zero for none
 	workerChanged chan struct{}     // closed and replaced when the worker restarts, leaves or changes its capacity
 	// replaced is an incarnation instead of which another one has answered, which has not been confirmed; zero for none.
 	replaced  batch.Incarnation
@@ -253,6 +257,9 @@
 		response.Error, response.NotListening = err.Error(), errors.Is(err, ErrNotListening)
 	} else {
 		response.Runs = &runs
+		if s, refusing := r.refusals.Summary(boottime.Now()); refusing && runs.Incarnation == r.refusedBy {
+			response.Refusals = &s
+		}
 	}
 	if r.worker != nil {
 		if r.worker.Incarnation != req.Incarnation || r.worker.Sequence > req.Sequence {
@@ -345,10 +352,28 @@
 
 func (r *Relay) start(ctx context.Context, conn *rpc.Conn, req StartRequest) (OrderResponse, error) {
 	return r.executeOrder(ctx, conn, req.Term, req.Incarnation, func(ctx context.Context) (batch.Verdict, error) {
-		return r.driver.Start(ctx, req)
+		verdict, err := r.driver.Start(ctx, req)
+		r.noteStart(req.Incarnation, verdict)
+		return verdict, err
 	})
 }
 
+// noteStart records how an incarnation of the worker has answered a start, for the next leader.
+func (r *Relay) noteStart(incarnation batch.Incarnation, verdict batch.Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refusedBy != incarnation {
+		r.refusals, r.refusedBy = refusal.History{}, incarnation
+	}
+	switch verdict {
+	case batch.VerdictAccepted:
+		r.refusals.Accept()
+	case batch.VerdictStale, batch.VerdictOldIncarnation:
+	default:
+		r.refusals.Refuse(boottime.Now())
+	}
+}
+
 func (r *Relay) stop(ctx context.Context, conn *rpc.Conn, req StopRequest) (OrderResponse, error) {
 	return r.executeOrder(ctx, conn, req.Term, req.Incarnation, func(ctx context.Context) (batch.Verdict, error) {
 		return r.driver.Stop(ctx, req)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,6 +16,7 @@
 	ackedThrough int64
 	lease        int64
 	starts       int
+	verdict      batch.Verdict // of starts; empty for VerdictAccepted
 	lists        int           // calls of SyncRuns
 	waiting      chan struct{} // closed when SyncRuns waits for a run to end; nil if nobody waits for that
 	err          error         // of SyncRuns
@@ -43,6 +44,9 @@
 
 func (d *fakeDriver) Start(context.Context, StartRequest) (batch.Verdict, error) {
 	d.starts++
+	if d.verdict != "" {
+		return d.verdict, nil
+	}
 	return batch.VerdictAccepted, nil
 }
 
@@ -242,3 +246,49 @@
 		t.Errorf("the speed of an earlier incarnation is returned: %+v", s)
 	}
 }
+
+// Guards against a leader that does not learn which workers have refused the starts of the previous one. Refusals of an
+// incarnation say nothing of the next one.
+func TestRefusalsAreReported(t *testing.T) {
+	d := &fakeDriver{incarnation: incarnation, verdict: batch.VerdictRefused}
+	r := New(d)
+	r.Announce(batch.Worker{Incarnation: incarnation, Service: "s", Sequence: 1})
+	conn := connect(t, r)
+	refusals := func() int {
+		t.Helper()
+		var response SyncResponse
+		if err := conn.Call(t.Context(), MethodSync, SyncRequest{Term: 1, Incarnation: d.incarnation}, &response); err != nil {
+			t.Fatal(err)
+		}
+		if response.Refusals == nil {
+			return 0
+		}
+		return response.Refusals.Count
+	}
+	start := func(v batch.Verdict) {
+		t.Helper()
+		d.verdict = v
+		if err := conn.Call(t.Context(), MethodStart, StartRequest{Term: 1, Incarnation: d.incarnation}, &OrderResponse{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := refusals(); n != 0 {
+		t.Errorf("%d refusals before the first start", n)
+	}
+	for _, v := range []batch.Verdict{batch.VerdictRefused, batch.VerdictNoCapacity, batch.VerdictUnknown} {
+		start(v)
+		if n := refusals(); n != 1 {
+			t.Errorf("%d refusals after a start that was answered with %s, want 1", n, v)
+		}
+		start(batch.VerdictAccepted)
+		if n := refusals(); n != 0 {
+			t.Errorf("%d refusals after an accepted start", n)
+		}
+	}
+	start(batch.VerdictRefused)
+	d.incarnation = batch.Incarnation{ID: incarnation.ID, StartedMS: incarnation.StartedMS + 1}
+	r.Announce(batch.Worker{Incarnation: d.incarnation, Service: "s", Sequence: 1})
+	if n := refusals(); n != 0 {
+		t.Errorf("%d refusals of the next incarnation, want none", n)
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -321,6 +321,18 @@
 // stateDeleted is the state of a job whose keys are being deleted.
 const stateDeleted batch.State = "forgotten"
 
+// running reports whether a run of the job is in progress, or is being stopped after it was. A gang runs once all of its
+// members have started.
+func (j *job) running() bool {
+	running := false
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			running = running || s.running()
+		}
+	}
+	return running
+}
+
 // idle reports whether no task of the job occupies a worker.
 func (j *job) idle() bool {
 	idle := true
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -29,12 +29,12 @@
 }
 
 // noteStarts records whether runs are starting on a worker, or isolated tasks in progress, and withholds the worker while
-// a suspect is starting there.
+// a suspect is starting there, or while a worker that refuses starts has not answered one.
 func (p *planner) noteStarts(w *worker) {
 	for t := range w.tasks {
 		if t.starting(p.now) {
 			p.startingOn[w.node] = true
-			if t.suspect() {
+			if t.suspect() || !t.confirmed && w.refusals.Refusing(p.now) {
 				p.withhold(w.node)
 			}
 		}
@@ -79,7 +79,7 @@
 func (p *planner) noteAssignment(u unit, nodes []string) {
 	for _, node := range nodes {
 		p.startingOn[node] = true
-		if u.suspect || u.isolated {
+		if u.suspect || u.isolated || p.core.workers[node].refusals.Refusing(p.now) {
 			p.withhold(node)
 		}
 	}
--- a/internal/scheduler/late_runs.go
+++ b/internal/scheduler/late_runs.go
@@ -169,11 +169,11 @@
 	if p.mustKeepHeadroom(u, n) {
 		return nil, nil
 	}
-	slow := func(cand candidate) bool {
+	unsuitable := func(cand candidate) bool {
 		class := p.core.speedClass(p.core.workers[cand.node])
-		return class != speed.Fast && class != speed.Typical
+		return cand.refusing || class != speed.Fast && class != speed.Typical
 	}
-	nodes := p.chooseFrom(u, n, slices.DeleteFunc(p.candidates(u, p.free, true), slow))
+	nodes := p.chooseFrom(u, n, slices.DeleteFunc(p.candidates(u, p.free, true), unsuitable))
 	if nodes != nil && !p.core.isRemote(u.step, nodes) {
 		return nodes, nil
 	}
@@ -182,7 +182,7 @@
 	}
 	var groups [][]candidate
 	for _, g := range p.workerGroups(u, n) {
-		groups = append(groups, slices.DeleteFunc(g, slow))
+		groups = append(groups, slices.DeleteFunc(g, unsuitable))
 	}
 	e := p.bestEviction(u, groups, need, n)
 	if e == nil || len(e.nodes) < n || e.cost > p.maxLoss(u, n) || p.core.isRemote(u.step, e.nodes) {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/boottime"
 	"masticcart.example/masticcart/internal/scheduler/speed"
 )
 
@@ -67,9 +68,14 @@
 	m.scope.Gauge("guaranteed_accelerators_missing").Update(float64(c.missingGuarantees))
 	m.scope.Gauge("workers").Update(float64(len(c.workers)))
 	classes := map[speed.Class]int{}
+	refusing, at := 0, boottime.Now()
 	for _, w := range c.sortedWorkers {
 		classes[c.speedClass(w)]++
+		if w.refusals.Refusing(at) {
+			refusing++
+		}
 	}
+	m.scope.Gauge("workers_refusing_starts").Update(float64(refusing))
 	for _, class := range [...]speed.Class{speed.Fast, speed.Typical, speed.Slow, speed.Unknown} {
 		m.scope.Tagged(map[string]string{"speed": string(class)}).Gauge("workers_by_speed").Update(float64(classes[class]))
 	}
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -5,6 +5,7 @@
 
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/refusal"
 	"masticcart.example/masticcart/internal/relay"
 )
 
@@ -71,5 +72,6 @@
 	WorkerDown   bool // the worker did not answer the agent
 	// NotListening means that no worker process listens at the worker's address.
 	NotListening bool
-	Speed        *relay.Speed // that the agent keeps for the worker; nil for none
+	Speed        *relay.Speed     // that the agent keeps for the worker; nil for none
+	Refusals     *refusal.Summary // of starts by the incarnation that answers; nil for none
 }
--- a/internal/scheduler/packing.go
+++ b/internal/scheduler/packing.go
@@ -14,13 +14,14 @@
 	// free is the free capacity of the worker, fitCount the number of tasks of the step that fit into it.
 	free     batch.Resources
 	fitCount int
-	avoided  bool // a task of the step failed there
+	avoided  bool // a task of the step failed there, or the worker refuses starts
+	refusing bool // the worker refuses starts
 	// workAtRisk is the work in core-seconds that a crash of the worker would lose. It is set for suspect units only.
 	workAtRisk float64
 	tier       speedTier // equal for all candidates unless the unit prefers workers by their speed
 }
 
-// compare orders candidates for filling: those without failures of the step first, then those with the least work at
+// compare orders candidates for filling: those without failures of the step that take starts first, then those with the least work at
 // risk, then those of the preferred speed, then the one with the least capacity left over, so that large free blocks are
 // preserved.
 func (a candidate) compare(b candidate, need batch.Resources) int {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -139,7 +139,8 @@
 			continue
 		}
 		// One more failure ends the job, so the last attempt goes to a worker on which starts are known to succeed.
-		cand.avoided = u.failedOn[w.node] || u.lastAttempt && !w.proven(p.now)
+		cand.refusing = w.refusals.Refusing(p.now)
+		cand.avoided = u.failedOn[w.node] || u.lastAttempt && !w.proven(p.now) || cand.refusing
 		if u.suspect {
 			cand.workAtRisk = p.workAtRisk(w)
 		}
@@ -211,12 +212,14 @@
 	return nodes
 }
 
-// chooseNow returns workers for n tasks of a unit that must start now, or nil. It keeps suspects apart if it can.
+// chooseNow returns workers for n tasks of a unit that must start now, or nil. It keeps suspects apart if it can, and comes to
+// workers that refuse starts last.
 func (p *planner) chooseNow(u unit, n int) []string {
 	relaxed := u.relaxed(p.now)
-	for _, cs := range [][]candidate{
+	sets := [][]candidate{
 		p.candidates(u, p.free, false), p.candidates(relaxed, p.free, false), p.candidates(relaxed, p.allFree(), false),
-	} {
+	}
+	for _, cs := range append(takingStarts(sets), sets...) {
 		if nodes := p.chooseFrom(u, n, cs); nodes != nil {
 			return nodes
 		}
@@ -227,6 +230,15 @@
 	return nil
 }
 
+// takingStarts returns the sets without the workers that refuse starts.
+func takingStarts(sets [][]candidate) [][]candidate {
+	var taking [][]candidate
+	for _, cs := range sets {
+		taking = append(taking, slices.DeleteFunc(slices.Clone(cs), func(c candidate) bool { return c.refusing }))
+	}
+	return taking
+}
+
 // chooseFrom returns workers for n tasks of the unit among the candidates, or nil. It prefers workers near the data and
 // within one rack, and uses others only if the unit may run remote.
 func (p *planner) chooseFrom(u unit, n int, cs []candidate) []string {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -195,14 +195,15 @@
 	return accelerators <= team.GuaranteedAccelerators
 }
 
-// workerGroups returns alternative sets of workers. The unit has to run within one of them.
+// workerGroups returns alternative sets of workers on which runs may be stopped for a unit. The unit has to run within one of
+// them. Workers that refuse starts are left out.
 func (p *planner) workerGroups(u unit, n int) [][]candidate {
 	s := u.step.spec
 	all := map[string]batch.Resources{}
 	for node := range p.free {
 		all[node] = p.core.workers[node].info.Capacity
 	}
-	cs := p.candidates(u, all, false)
+	cs := slices.DeleteFunc(p.candidates(u, all, false), func(c candidate) bool { return c.refusing })
 	remote := p.mayRunRemote(u, n)
 	if s.DataRack != "" && !remote {
 		cs = slices.DeleteFunc(cs, func(c candidate) bool { return c.rack != s.DataRack })
--- a/internal/scheduler/relocate.go
+++ b/internal/scheduler/relocate.go
@@ -96,8 +96,8 @@
 	return r
 }
 
-// relocationHosts returns the alternative sets of workers on which a unit may run from now on. Cold workers are not among
-// them: work that runs is not moved to where it is slow.
+// relocationHosts returns the alternative sets of workers on which a unit may run from now on. Workers
+// that are cold or refuse starts are not among them: work that runs is not moved to where it is slow or may not start.
 func (p *planner) relocationHosts(u unit) [][]relocation.Host {
 	s := u.step.spec
 	released := map[string]int{}
@@ -112,7 +112,7 @@
 		}
 	}
 	cs := slices.DeleteFunc(p.eligible(u, free, true, true), func(c candidate) bool {
-		return p.core.workers[c.node].cold(p.now)
+		return c.refusing || p.core.workers[c.node].cold(p.now)
 	})
 	near := cs
 	if s.DataRack != "" {
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -244,6 +244,7 @@
 		if t.phase == assigned && now-t.assignedAt < c.config.GangWait/2 {
 			t.resendAt = now + startRetryDelay
 		} else if t.phase == assigned {
+			c.noteRefusal(o, v, now)
 			c.stopRun(t, LossOrder, "no answer to the start", now)
 			c.stopGang(t, LossMemberLost, "member did not answer", now)
 		}
@@ -251,6 +252,9 @@
 		// The incarnation that the order was for has ended. The first report of the next one requeues the task.
 	default:
 		c.stats.Refused++
+		if v != batch.VerdictStale && v != batch.VerdictNotSent {
+			c.noteRefusal(o, v, now)
+		}
 		if t.phase == stopping {
 			return // the end of the run is confirmed by the answer to the stop
 		}
@@ -268,12 +272,28 @@
 	}
 }
 
+// noteRefusal records that a worker has not taken a start, so that the next attempt prefers other workers.
+func (c *Core) noteRefusal(o Order, v batch.Verdict, now time.Duration) {
+	w := c.workers[o.Node]
+	if w.incarnation() != o.Incarnation {
+		return
+	}
+	if !w.refusals.Refusing(now) {
+		klog.InfoS("Worker refuses starts", "node", w.node, "worker", o.Incarnation, "task", o.Task, "verdict", v)
+	}
+	w.refusals.Refuse(now)
+	c.planNeeded = true
+}
+
 // confirmStart marks the run of a task as started on its worker, once the worker has accepted or reported it.
 func (c *Core) confirmStart(t *task, now time.Duration) {
 	if t.confirmed {
 		return
 	}
 	c.stats.Started++
+	if !t.inherited { // a run that a previous leader has started may be older than the refusals
+		c.workers[t.node].refusals.Accept()
+	}
 	t.confirmed, t.confirmedAt, t.progressAt = true, now, now
 	t.basePercent, t.paceSince, t.observedAt, t.resumed = 0, now, 0, t.checkpoint != ""
 	if t.startSent {
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -190,7 +190,8 @@
 	defer t.mu.Unlock()
 	t.core.ApplyReport(Report{Node: s.node, SentAt: sentAt, ReceivedAt: boottime.Now(), AckedThrough: ack,
 		Worker: response.Worker, Deregistered: response.Deregistered, Runs: response.Runs,
-		RetainedEnds: response.RetainedEnds, WorkerDown: response.Error != "", NotListening: response.NotListening, Speed: response.Speed}, time.Now())
+		RetainedEnds: response.RetainedEnds, WorkerDown: response.Error != "", NotListening: response.NotListening,
+		Speed: response.Speed, Refusals: response.Refusals}, time.Now())
 	if t.core.planNeeded || len(t.core.outbox) > 0 {
 		t.wakeLoop()
 	}
@@ -262,7 +263,7 @@
 			Incarnation: o.Incarnation, Task: o.Task, Run: o.Run}, &response)
 	} else {
 		if !ok {
-			return batch.VerdictRefused, "no lease to grant, or the data centre is evacuated"
+			return batch.VerdictNotSent, "no lease to grant, or the data centre is evacuated"
 		}
 		err = conn.Call(ctx, relay.MethodStart, relay.StartRequest{Term: t.term.Number, Fence: fence,
 			Incarnation: o.Incarnation, Task: o.Task, Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint,
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -15,6 +15,7 @@
 	"masticcart.example/masticcart/internal/batch"
 	"masticcart.example/masticcart/internal/evacuation"
 	"masticcart.example/masticcart/internal/kvstore"
+	"masticcart.example/masticcart/internal/refusal"
 	"masticcart.example/masticcart/internal/rulecheck"
 )
 
@@ -70,9 +71,11 @@
 	frozenUntil      time.Duration        // orders are carried out then, in the order in which they were sent
 	knownIncarnation batch.Incarnation    // known to the agent, which learns of a new one from an announcement
 	leaving          bool
-	capacity         int  // accelerators
-	announced        int  // the capacity that is known to the agent
-	enforces         bool // the worker rejects what exceeds its capacity
+	capacity         int           // accelerators
+	announced        int           // the capacity that is known to the agent
+	enforces         bool          // the worker rejects what exceeds its capacity
+	refusesUntil     time.Duration // all starts until then
+	refusals         refusal.History
 }
 
 // simAnnounceInterval is the longest time until the agent learns of a change of its worker.
@@ -183,6 +186,7 @@
 func (s *sim) startWorker(w *simWorker) {
 	w.incarnation = batch.Incarnation{ID: "i-" + w.node, StartedMS: s.wall().UnixMilli()}
 	w.alive, w.started, w.lease, w.fence, w.endCount, w.leaving = true, s.now, 0, 0, 0, false
+	w.refusals = refusal.History{}
 	w.runs, w.highestEnded, w.ended = map[batch.TaskID]*simRun{}, map[batch.TaskID]int{}, nil
 	incarnation := w.incarnation
 	s.after(s.between(0, simAnnounceInterval), func() { w.knownIncarnation, w.announced = incarnation, w.capacity })
@@ -334,6 +338,9 @@
 			Incarnation: w.knownIncarnation, Service: "s", Rack: w.node[:1], Cell: w.cell,
 			Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: w.announced}, Leaving: w.leaving,
 			Sequence: s.now.Milliseconds()}, Runs: w.report(s.now)}
+		if summary, refusing := w.refusals.Summary(s.now); refusing {
+			report.Refusals = &summary
+		}
 		s.after(s.latency(), func() {
 			if s.term == term && s.core == c && s.now >= w.partitionedUntil {
 				report.ReceivedAt = s.now
@@ -393,7 +400,7 @@
 		})
 	}
 	if o.Kind == OrderStart && !ok {
-		answer(batch.VerdictRefused)
+		answer(batch.VerdictNotSent)
 		return
 	}
 	fence := term*epochsPerTerm + c.Epoch(o.Node)
@@ -456,6 +463,9 @@
 		return batch.VerdictAccepted
 	}
 	switch {
+	case s.now < w.refusesUntil:
+		w.refusals.Refuse(s.now)
+		return batch.VerdictRefused
 	case lease <= w.clock(s.now):
 		return batch.VerdictLeaseExpired
 	case o.Run <= w.highestEnded[o.Task]:
@@ -484,6 +494,7 @@
 			work = work * 12 / 5
 		}
 	}
+	w.refusals.Accept()
 	w.runs[o.Task] = &simRun{task: o.Task, run: o.Run, remaining: work, total: work, startedAt: s.now,
 		fails: s.faults && s.rng.Float64() < 0.04, hangs: s.faults && s.rng.Float64() < 0.02}
 	if delay, ok := s.crashDelays[o.Task]; ok {
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -120,6 +120,16 @@
 	return true
 }
 
+// running reports whether a run of the step is in progress, or is being stopped after it was. A gang runs once all of its
+// members have started.
+func (s *stepInstance) running() bool {
+	started := func(t *task) bool { return t.active() && t.confirmed }
+	if s.spec.Gang {
+		return s.openTasks > 0 && !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase != done && !started(t) })
+	}
+	return slices.ContainsFunc(s.tasks, started)
+}
+
 // maxRun returns the highest run number of all tasks of the step.
 func (s *stepInstance) maxRun() int {
 	n := 0
@@ -152,7 +162,7 @@
 	failure          string        // why the job has failed
 	learnedAt        time.Duration // when this leader learned of the job
 	initialAge       time.Duration // time from the acceptance to learnedAt, by the wall clock
-	idleSince        time.Duration // since when the job could run but occupies no worker, or never
+	idleSince        time.Duration // since when the job could run but nothing of it does, or never
 
 	revision          kvstore.Revision // of the record; zero if there is none
 	recordedState     batch.State      // state in the record, which is what callers are told
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -32,7 +32,7 @@
 	c, now := p.core, p.now
 	var us []unit
 	for _, j := range c.openJobs {
-		before := len(us)
+		startable := false
 		for n := range j.nextOccurrence {
 			o := j.occurrences[n]
 			if o == nil {
@@ -41,10 +41,11 @@
 			for _, s := range o.steps {
 				if s.openTasks > 0 && s.ready() {
 					us = c.appendUnit(us, s, now)
+					startable = true
 				}
 			}
 		}
-		j.updateIdleSince(len(us) > before, now)
+		j.updateIdleSince(startable, now)
 	}
 	for i := range us {
 		c.fillDemand(&us[i], p.shares, now)
@@ -53,10 +54,11 @@
 	return us
 }
 
-// updateIdleSince tracks since when the job could run but occupies no worker.
-func (j *job) updateIdleSince(ready bool, now time.Duration) {
+// updateIdleSince tracks since when the job could run and nothing of it does. Attempts to start a task do not interrupt that,
+// so that a job whose starts are refused counts as idle all the while.
+func (j *job) updateIdleSince(startable bool, now time.Duration) {
 	switch {
-	case !ready || !j.idle():
+	case !startable || j.running():
 		j.idleSince = never
 	case j.idleSince == never:
 		j.idleSince = now
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"masticcart.example/masticcart/internal/batch"
+	"masticcart.example/masticcart/internal/refusal"
 	"masticcart.example/masticcart/internal/relay"
 	"masticcart.example/masticcart/internal/scheduler/ends"
 	"masticcart.example/masticcart/internal/scheduler/speed"
@@ -43,6 +44,7 @@
 	failedJobs       int             // consecutive failed runs of different jobs
 	lastFailedJob    string          // job of the last of them
 	quarantinedUntil time.Duration
+	refusals         refusal.History // of starts, by the current incarnation
 	// replaced is the incarnation before the current one until the first report of the current one.
 	replaced    *endedIncarnation
 	unexplained []unexplainedCrash // of the last crashMemory
@@ -112,18 +114,19 @@
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Duration) bool {
 	return w.info != nil && !w.info.Leaving && !w.deregistered && w.reached && w.downSince == never &&
-		now-w.reportedAt <= maxReportAge && now >= w.quarantinedUntil
+		now-w.reportedAt <= maxReportAge && now >= w.quarantinedUntil && !w.refusals.Paused(now)
 }
 
 // maxSilence is how long the capacity of a worker that does not answer still counts for the future: most restart sooner.
 const maxSilence = 5 * time.Second
 
 // expectsTasks reports whether a worker takes new tasks now or is expected to soon. One that has been silent for longer is
-// taken as gone: its machine may never come back, and nothing may wait for it.
+// taken as gone: its machine may never come back, and nothing may wait for it. The same holds for one that has refused all
+// starts for as long.
 func (c *Core) expectsTasks(w *worker, now time.Duration) bool {
 	heardAt := max(w.reportedAt, w.announcedAt, c.startedAt)
 	return w.info != nil && !w.info.Leaving && !w.deregistered && !c.evacuated(w) && now-heardAt <= maxSilence &&
-		(w.downSince == never || now-w.downSince <= maxSilence)
+		(w.downSince == never || now-w.downSince <= maxSilence) && w.refusals.RefusingFor(now) <= maxSilence
 }
 
 // expectedWorkers returns the number of workers for which expectsTasks holds.
@@ -259,6 +262,9 @@
 	}
 	if !w.reached {
 		c.reconcileIncarnation(w, r.Runs, r.ReceivedAt)
+		if r.Refusals != nil && !w.refusals.Refusing(r.ReceivedAt) {
+			w.refusals = refusal.Restore(*r.Refusals, r.ReceivedAt)
+		}
 		klog.InfoS("Worker reached", "node", w.node, "worker", w.info.Incarnation, "running", len(r.Runs.Running),
 			"ended", len(r.Runs.Ended))
 		c.planNeeded = true
@@ -341,7 +347,7 @@
 		klog.InfoS("Worker described", "node", w.node, "worker", info.Incarnation, "service", info.Service,
 			"rack", info.Rack, "capacity", info.Capacity, "leaving", info.Leaving)
 		w.reached, w.deregistered, w.ackedEnd, w.workerClockMS, w.reportedAt = false, false, 0, 0, 0
-		w.failedJobs, w.quarantinedUntil, w.announcedAt = 0, 0, now
+		w.failedJobs, w.quarantinedUntil, w.refusals, w.announcedAt = 0, 0, refusal.History{}, now
 		w.orphaned, w.largest, w.healthy, w.provenAt = batch.Resources{}, info.Capacity, false, 0
 		c.forgetSpeed(w)
 		c.planNeeded = true
