--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"masticcart.example/masticcart/internal/faultproxy"
 	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/internal/rulecheck"
 	"masticcart.example/masticcart/platform/standin"
@@ -37,7 +38,7 @@
 	w := r.workers[r.rng.IntN(len(r.workers))]
 	duration := r.drawDuration()
 	oddMessage := r.rng.IntN(1000)
-	mode := []proxyMode{modeDelay, modeHoldAll, modeHoldAnswers}[r.rng.IntN(3)]
+	mode := []faultproxy.Mode{faultproxy.Delay, faultproxy.HoldAll, faultproxy.HoldAnswers}[r.rng.IntN(3)]
 	afterDuration := func(f func()) { r.background.Go(func() { r.sleep(duration); f() }) }
 	suspend := func(p *process) {
 		p.signal(syscall.SIGSTOP)
@@ -66,15 +67,15 @@
 		{"terminate " + p.name, func() { p.signal(syscall.SIGTERM) }},
 		{"suspend " + p.name, func() { suspend(p) }},
 		{"reload " + p.name, func() { p.signal(syscall.SIGHUP) }},
-		{"reset store connections of " + p.name, p.storeProxy.resetConnections},
+		{"reset store connections of " + p.name, p.storeProxy.ResetConnections},
 		{fmt.Sprint("store path ", mode, " for ", p.name), func() {
-			p.storeProxy.setMode(mode)
-			afterDuration(func() { p.storeProxy.setMode(modeForward) })
+			p.storeProxy.SetMode(mode)
+			afterDuration(func() { p.storeProxy.SetMode(faultproxy.Forward) })
 		}},
 		{fmt.Sprint("worker path ", mode, " for ", p.name), func() {
 			if p.workerProxy != nil {
-				p.workerProxy.setMode(mode)
-				afterDuration(func() { p.workerProxy.setMode(modeForward) })
+				p.workerProxy.SetMode(mode)
+				afterDuration(func() { p.workerProxy.SetMode(faultproxy.Forward) })
 			}
 		}},
 		{"store loses answers", func() {
@@ -92,9 +93,9 @@
 		{"kill " + w.name, func() { w.signal(syscall.SIGKILL) }},
 		{"suspend " + w.name, func() { suspend(w) }},
 		{"block the worker path and kill " + w.name, func() {
-			w.agent.workerProxy.setMode(modeHoldAll)
+			w.agent.workerProxy.SetMode(faultproxy.HoldAll)
 			r.background.Go(func() { r.sleep(duration / 2); w.signal(syscall.SIGKILL) })
-			afterDuration(func() { w.agent.workerProxy.setMode(modeForward) })
+			afterDuration(func() { w.agent.workerProxy.SetMode(faultproxy.Forward) })
 		}},
 	}
 	k := kinds[r.rng.IntN(len(kinds))]
@@ -139,9 +140,9 @@
 		p.signal(syscall.SIGCONT)
 	}
 	for _, p := range r.daemons {
-		p.storeProxy.setMode(modeForward)
+		p.storeProxy.SetMode(faultproxy.Forward)
 		if p.workerProxy != nil {
-			p.workerProxy.setMode(modeForward)
+			p.workerProxy.SetMode(faultproxy.Forward)
 		}
 	}
 	r.setStoreFaults(memstore.Faults{})
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"masticcart.example/masticcart/internal/faultproxy"
 	"masticcart.example/masticcart/internal/rulecheck"
 	"masticcart.example/masticcart/internal/wait"
 	"masticcart.example/masticcart/platform/standin"
@@ -33,8 +34,8 @@
 
 	// The next three are set for the programs under test only.
 	settings    standin.ProcessSettings
-	storeProxy  *proxy // between the process and the store
-	workerProxy *proxy // between an agent and its worker; nil for an entry
+	storeProxy  *faultproxy.Proxy // between the process and the store
+	workerProxy *faultproxy.Proxy // between an agent and its worker; nil for an entry
 
 	// The next two are set for workers only.
 	id    string // as it announces itself
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"masticcart.example/masticcart/internal/faultproxy"
 	"masticcart.example/masticcart/internal/kvstore/memstore"
 	"masticcart.example/masticcart/internal/rulecheck"
 	"masticcart.example/masticcart/internal/wait"
@@ -190,12 +191,12 @@
 	if p.storeProxy, err = r.startProxy(r.storeAddress); err != nil {
 		return nil, err
 	}
-	p.settings.StoreAddress = p.storeProxy.address()
+	p.settings.StoreAddress = p.storeProxy.Address()
 	if class == "side" {
 		if p.workerProxy, err = r.startProxy(p.settings.WorkerAddress()); err != nil {
 			return nil, err
 		}
-		p.settings.App = p.workerProxy.address()
+		p.settings.App = p.workerProxy.Address()
 	}
 	file := filepath.Join(r.options.OutputDir, node+".toml")
 	if err := os.WriteFile(file, []byte(p.settings.TOML()), 0o600); err != nil {
@@ -211,12 +212,12 @@
 }
 
 // startProxy starts a proxy that is closed when the run ends.
-func (r *run) startProxy(target string) (*proxy, error) {
-	p, err := newProxy(target)
+func (r *run) startProxy(target string) (*faultproxy.Proxy, error) {
+	p, err := faultproxy.New(target)
 	if err != nil {
 		return nil, err
 	}
-	context.AfterFunc(r.ctx, p.close)
+	context.AfterFunc(r.ctx, p.Close)
 	return p, nil
 }
 
