platform: the clients of the store share what they learn of its connections

A cancellation has time for four attempts. The watch of the configuration had noticed the silence in a pool of its own.

Change: the clients of the store in a process share one connhealth.Peer, so the first timeout of any of them clears the silent connections of all.

Evidence: TestSilentConnectionsToTheStoreCostOneCall failed before the fix (each call in turn).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -18,7 +18,7 @@
 
 // AgentModule provides and runs the agent of the worker on the same machine.
 var AgentModule = fx.Module("agent",
-	fx.Provide(newStore, newMetrics, newMeter, newRelay,
+	fx.Provide(newStore, storeInterface, newMetrics, newMeter, newRelay,
 		func() *transport.TLSConfigs { return &transport.TLSConfigs{} },
 		func() telemetry.ReadinessCheck { return func() error { return nil } }),
 	fx.Invoke(telemetry.RegisterServer, serveAgent),
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -53,14 +53,16 @@
 
 // EntryModule provides and runs an entry: a process that serves callers and campaigns to be the leader.
 var EntryModule = fx.Module("entry",
-	fx.Provide(newStore, newCatalogWatcher, newScheduler, newElection, newLeaderClient, newIntake, newLimiter,
+	fx.Provide(newStore, storeInterface, newCatalogWatcher, newScheduler, newElection, newLeaderClient, newIntake, newLimiter,
 		newMetrics, newMeter,
 		func() *transport.TLSConfigs { return &transport.TLSConfigs{} },
 		func(i *intake.Service) telemetry.ReadinessCheck { return i.Ready }),
 	fx.Invoke(telemetry.RegisterServer, serveEntry),
 )
 
-func newStore(s *platform.Settings) kvstore.Store { return platform.NewStore(s.Platform.Address) }
+func newStore(s *platform.Settings) *platform.Store { return platform.NewStore(s.Platform.Address) }
+
+func storeInterface(s *platform.Store) kvstore.Store { return s }
 
 func newMeter() *rpc.Meter { return &rpc.Meter{} }
 
@@ -141,14 +143,14 @@
 
 // newIntake returns the service for callers. It has connections to the store of its own, so that the calls of the leader
 // and the watches do not wait for those on behalf of callers.
-func newIntake(s *platform.Settings, watcher *intake.CatalogWatcher, leader *leaderClient,
+func newIntake(s *platform.Settings, store *platform.Store, watcher *intake.CatalogWatcher, leader *leaderClient,
 	m *telemetry.Metrics) *intake.Service {
 	intakeSettings := intake.Settings{Scope: m.Scope,
 		MaxPendingAge: time.Duration(float64(platform.Milliseconds(s.Bounds.VisibleMS)) * pendingAgeFraction)}
 	if s.Bounds.RevokeStrict {
 		intakeSettings.MaxCatalogAge = time.Duration(float64(platform.Milliseconds(s.Bounds.RevokeMS)) * catalogAgeFraction)
 	}
-	return intake.New(newStore(s), watcher, leader, intakeSettings)
+	return intake.New(store.Separate(), watcher, leader, intakeSettings)
 }
 
 // entryProcess holds the servers and the background work of an entry.
