scheduler: a long-running task does not wait for the rack of its data

Cause: how long a task waits for its rack follows from the client's estimate, which says nothing of work that has no end. The exception for jobs with nothing running looks at the whole job, and at a service of which most is free. Headroom and reservations held such a task back as well.

Change: a long-running task that could have run for 2 s and does not starts wherever it fits, if it fits twice.

--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -39,6 +40,7 @@
 	// accelerators holds the capacity of workers that do not have fixtureAccelerators.
 	accelerators map[string]int
 	cells        map[string]string // data centres of the workers; empty for the others
+	racks        map[string]string // racks of the workers; fixtureRack for the others
 }
 
 func newFixture(t *testing.T, nodes ...string) *fixture {
@@ -51,8 +53,11 @@
 	return f
 }
 
-// fixtureAccelerators is the number of accelerators of a worker.
-const fixtureAccelerators = 8
+const (
+	// fixtureAccelerators is the number of accelerators of a worker, fixtureRack its rack.
+	fixtureAccelerators = 8
+	fixtureRack         = "r"
+)
 
 func (f *fixture) report(node string, at time.Duration, running ...batch.RunningTask) {
 	accelerators := fixtureAccelerators
@@ -61,7 +66,7 @@
 	}
 	incarnation := batch.Incarnation{ID: node, StartedMS: 1 + f.incarnations[node]}
 	f.c.ApplyReport(Report{Node: node, SentAt: at, ReceivedAt: at, Worker: &batch.Worker{Incarnation: incarnation,
-		Service: "s", Rack: "r", Cell: f.cells[node], Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: accelerators},
+		Service: "s", Rack: cmp.Or(f.racks[node], fixtureRack), Cell: f.cells[node], Capacity: batch.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: accelerators},
 		Sequence: at.Milliseconds() + 1},
 		Runs: &batch.Runs{Incarnation: incarnation, ClockMS: at.Milliseconds(), Running: running}}, f.wall)
 	f.c.GrantLease(node, incarnation) // as the next poll does
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -49,7 +49,8 @@
 
 const (
 	// maxIdleWait is how long a job without a running task may be held back while most of the service's capacity is
-	// free. The platform's rules allow three seconds, and the start itself takes part of the third.
+	// free, or a long-running task while there is room for it. The platform's rules allow three seconds, and the start
+	// itself takes part of the third.
 	maxIdleWait = 2 * time.Second
 	// mostlyIdleShare is the share of capacity in use below which a service counts as mostly idle.
 	mostlyIdleShare = 0.5
@@ -57,16 +58,23 @@
 	idleFitFactor = 2
 )
 
-// mustStartNow reports whether the unit must start despite reservations, headroom and data locality: its job has
-// nothing running and has waited for long enough while most of the capacity is free.
+// mustStartNow reports whether the unit must start despite reservations, headroom and data locality: it fits twice, and
+// either its job has nothing running and has waited for long enough while most of the capacity is free, or it is long-running
+// and has waited for as long itself. The estimate of a long-running task says nothing of how long it may wait.
 func (p *planner) mustStartNow(u unit, n int) bool {
+	if !u.overdue && !p.hasIdleJob(u) {
+		return false
+	}
+	return pack(p.candidates(u.relaxed(p.now), p.allFree(), false), u.step.spec.Reserved(), idleFitFactor*n) != nil
+}
+
+// hasIdleJob reports whether the unit's job has had nothing running for maxIdleWait while most of the service's capacity is
+// free.
+func (p *planner) hasIdleJob(u unit) bool {
 	j := u.step.job()
 	if j.idleSince == never || p.now-j.idleSince < maxIdleWait || !j.idle() {
 		return false
 	}
 	capacity := p.capacities[u.queue.Service]
-	if capacity == nil || capacity.free.CoreEquivalents() <= (1-mostlyIdleShare)*capacity.total.CoreEquivalents() {
-		return false
-	}
-	return pack(p.candidates(u.relaxed(p.now), p.allFree(), false), u.step.spec.Reserved(), idleFitFactor*n) != nil
+	return capacity != nil && capacity.free.CoreEquivalents() > (1-mostlyIdleShare)*capacity.total.CoreEquivalents()
 }
--- a/internal/scheduler/long_running_test.go
+++ b/internal/scheduler/long_running_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,56 @@
 	}
 }
 
+// Guards against a long-running task that is not started again, since it waits for the rack of its data, while others of its
+// job run (review/13): its estimate says nothing of how long it may wait. The same with a service that is mostly in use, and
+// with accelerators that are kept free for urgent jobs.
+func TestLongRunningTaskDoesNotWaitForItsRack(t *testing.T) {
+	for name, test := range map[string]struct {
+		dataRack string
+		filled   bool    // other work takes most of the capacity outside the rack
+		urgent   float64 // accelerators of urgent jobs on average
+	}{
+		"rack": {fixtureRack, false, 0}, "rack, mostly in use": {fixtureRack, true, 0}, "headroom": {"", false, 16},
+	} {
+		f := newFixture(t, "a", "b", "c", "d", "e")
+		f.racks = map[string]string{"c": "r2", "d": "r2", "e": "r2"}
+		at := time.Second
+		f.reportEverywhere(at)
+		f.submit(longRunningJob, 1, at, batch.Step{Count: 2, LongRunning: true, Estimate: time.Minute, DataRack: test.dataRack,
+			Need: batch.Resources{Accelerators: 5}})
+		f.planAndCommit(at)
+		if test.filled {
+			step := batch.Step{Count: 1, Estimate: time.Hour, DataRack: "r2", Need: batch.Resources{Accelerators: 8}}
+			f.submit("00000000000000f3", 1, at, step)
+			step.Count, step.MaxPerWorker, step.Need.Accelerators = 2, 1, 3
+			f.submit("00000000000000f4", 1, at, step)
+		}
+		at += planInterval
+		f.planAndCommit(at)
+		f.c.urgentDemand.mean = test.urgent
+		lost := f.c.jobs[longRunningJob].findTask(batch.TaskID{Job: longRunningJob, Index: 1})
+		for _, j := range f.c.jobs {
+			j.forEachTask(func(x *task) {
+				if !x.active() {
+					t.Fatalf("%s: %v has not started", name, x.id)
+				}
+			})
+		}
+		left := lost.node
+		f.nodes = slices.DeleteFunc(f.nodes, func(n string) bool { return n == left })
+		f.c.markTasksLost(f.c.workers[left], "worker left", at)
+		f.c.workers[left].deregistered = true
+		lostAt := at
+		for ; at < lostAt+20*time.Second && (!lost.active() || !lost.confirmed); at += 100 * time.Millisecond {
+			f.reportEverywhere(at)
+			f.planAndCommit(at)
+		}
+		if waited := at - lostAt; waited > 3*time.Second {
+			t.Errorf("%s: started again after %v, want at most 3 s: %s", name, waited, f.c.waitReason(lost.step, at))
+		}
+	}
+}
+
 // Guards against a task that ends right after each start and keeps the store and its worker busy.
 func TestRestartsOfAFailingLongRunningTaskSlowDown(t *testing.T) {
 	f := newFixture(t, "a")
--- a/internal/scheduler/refusing_worker_test.go
+++ b/internal/scheduler/refusing_worker_test.go
@@ -144,14 +144,14 @@
 // Each attempt began the wait anew.
 func TestRefusalsDoNotProlongTheWaitForTheData(t *testing.T) {
 	f := newFixture(t, "a", "b")
-	f.c.workers["b"].info.Rack = "r2"
-	f.submit(refusedJob, 1, 0, batch.Step{Count: 1, Estimate: time.Minute, DataRack: "r",
+	f.racks = map[string]string{"b": "r2"}
+	f.report("b", time.Millisecond)
+	f.submit(refusedJob, 1, 0, batch.Step{Count: 1, Estimate: time.Minute, DataRack: fixtureRack,
 		Need: batch.Resources{Accelerators: 2}})
 	at := time.Duration(0)
 	for ; at < 20*time.Second && !f.c.jobs[refusedJob].running(); at += 50 * time.Millisecond {
 		f.refuse(at, batch.VerdictRefused, "a")
-		f.report("a", at)
-		f.c.workers["b"].reportedAt = at
+		f.reportEverywhere(at)
 	}
 	if at > 3*time.Second {
 		t.Errorf("runs after %v, want at most 3 s", at)
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -294,7 +294,7 @@
 	if !t.inherited { // a run that a previous leader has started may be older than the refusals
 		c.workers[t.node].refusals.Accept()
 	}
-	t.confirmed, t.confirmedAt, t.progressAt = true, now, now
+	t.confirmed, t.confirmedAt, t.progressAt, t.idleSince = true, now, now, 0
 	t.basePercent, t.paceSince, t.observedAt, t.resumed = 0, now, 0, t.checkpoint != ""
 	if t.startSent {
 		t.startedAt = now
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -39,6 +39,7 @@
 	startedAt      time.Duration // of the run, also if a previous leader started it
 	retryAt        time.Duration // earliest time of the next placement
 	restartDelay   time.Duration // after the last short run of a long-running task
+	idleSince      time.Duration // since when a long-running task could run and does not; zero if it runs
 	resendAt       time.Duration // when to send the start order again; zero for never
 	percent        int
 	progressAt     time.Duration // when percent last changed
--- a/internal/scheduler/units.go
+++ b/internal/scheduler/units.go
@@ -23,6 +23,7 @@
 	apartUntil  time.Duration   // until when a suspect unit waits for workers on which no other run is starting
 	isolated    bool            // the tasks do not share their workers with others
 	anywhere    bool            // the unit may start beside isolated tasks
+	overdue     bool            // long-running tasks that have waited for maxIdleWait
 	// onEmptyWorkers means that the unit is compared with what workers could hold apart from their runs and their state.
 	onEmptyWorkers bool
 }
@@ -66,7 +67,7 @@
 }
 
 // appendUnit appends what can be placed of a step. A gang is one unit. Other tasks form separate units if they are on
-// their last attempt, since they avoid workers on which they have failed, or are suspect or isolated.
+// their last attempt, since they avoid workers on which they have failed, or are suspect, isolated or overdue.
 func (c *Core) appendUnit(us []unit, s *stepInstance, now time.Duration) []unit {
 	if !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == waiting && t.retryAt <= now }) {
 		return us
@@ -84,10 +85,17 @@
 			continue
 		}
 		u := base
+		if s.spec.LongRunning {
+			if t.idleSince == 0 {
+				t.idleSince = now
+			}
+			u.overdue = now-t.idleSince >= maxIdleWait
+		}
 		u.suspect, u.isolated, u.apartUntil = t.suspect(), t.isolated(), t.retryAt+maxSeparationWait
 		u.lastAttempt = u.lastAttempt || hasLimit && !s.spec.Gang && isLastAttempt(q, t.failures)
 		i := slices.IndexFunc(groups, func(g unit) bool {
-			return s.spec.Gang || g.lastAttempt == u.lastAttempt && g.suspect == u.suspect && g.isolated == u.isolated
+			return s.spec.Gang || g.lastAttempt == u.lastAttempt && g.suspect == u.suspect && g.isolated == u.isolated &&
+				g.overdue == u.overdue
 		})
 		if i < 0 {
 			i = len(groups)
@@ -95,7 +103,7 @@
 		}
 		g := &groups[i]
 		g.tasks, g.apartUntil = append(g.tasks, t), max(g.apartUntil, u.apartUntil)
-		g.suspect, g.isolated = g.suspect || u.suspect, g.isolated || u.isolated
+		g.suspect, g.isolated, g.overdue = g.suspect || u.suspect, g.isolated || u.isolated, g.overdue || u.overdue
 	}
 	if s.spec.Gang && (len(groups) == 0 || len(groups[0].tasks) < s.spec.Count) {
 		return us
