--- a/internal/scheduler/packing.go
+++ b/internal/scheduler/packing.go
@@ -21,9 +21,9 @@
 	tier       speedTier // equal for all candidates unless the unit prefers workers by their speed
 }
 
-// compare orders candidates for filling: those without failures of the step that take starts first, then those with the least work at
-// risk, then those of the preferred speed, then the one with the least capacity left over, so that large free blocks are
-// preserved.
+// compare orders candidates for filling: those without failures of the step that take starts first, then those with the
+// least work at risk, then those of the preferred speed, then the one with the least capacity left over, so that large
+// free blocks are preserved.
 func (a candidate) compare(b candidate, need batch.Resources) int {
 	if a.avoided != b.avoided {
 		if a.avoided {
