soak: silent connections, refused starts and leaving workers

Change: connections go silent, of one program or all of one kind; workers refuse starts, or leave and close their connections meanwhile. At the end of each run, in a calm system, one of three disturbances comes alone, and a cancellation has to be acknowledged and carried out in time, without a lease that lapses.

--- a/internal/connhealth/peer_test.go
+++ b/internal/connhealth/peer_test.go
@@ -68,11 +68,11 @@
 }
 
 // getConcurrently makes n concurrent requests and returns how many have failed.
-func (c *client) getConcurrently(n int, delay, answerDelay, timeout time.Duration) int {
+func (c *client) getConcurrently(n int, delay time.Duration) int {
 	errs := make([]error, n)
 	var group sync.WaitGroup
 	for i := range n {
-		group.Go(func() { errs[i] = c.get(delay, answerDelay, timeout) })
+		group.Go(func() { errs[i] = c.get(delay, 0, requestTimeout) })
 	}
 	group.Wait()
 	failed := 0
@@ -93,7 +93,7 @@
 		peer := NewPeer("test")
 		first, second := newClient(t, proxy, peer), newClient(t, proxy, peer)
 		for _, c := range []*client{first, second} {
-			if failed := c.getConcurrently(8, 50*time.Millisecond, 0, requestTimeout); failed > 0 {
+			if failed := c.getConcurrently(8, 50*time.Millisecond); failed > 0 {
 				t.Fatalf("%d requests have failed", failed)
 			}
 		}
@@ -117,12 +117,12 @@
 	proxy := newServer(t)
 	c := newClient(t, proxy, NewPeer("test"))
 	const slow = 500 * time.Millisecond // below the time-out
-	if failed := c.getConcurrently(4, slow, 0, requestTimeout); failed > 0 {
+	if failed := c.getConcurrently(4, slow); failed > 0 {
 		t.Fatalf("%d requests have failed", failed)
 	}
 	before := proxy.Accepted()
 	for range 4 {
-		if failed := c.getConcurrently(4, slow, 0, requestTimeout); failed > 0 {
+		if failed := c.getConcurrently(4, slow); failed > 0 {
 			t.Fatalf("%d requests have failed", failed)
 		}
 	}
@@ -163,7 +163,7 @@
 	proxy := newServer(t)
 	peer := NewPeer("test")
 	c := newClient(t, proxy, peer)
-	if failed := c.getConcurrently(4, 50*time.Millisecond, 0, requestTimeout); failed > 0 {
+	if failed := c.getConcurrently(4, 50*time.Millisecond); failed > 0 {
 		t.Fatalf("%d requests have failed", failed)
 	}
 	before := proxy.Accepted()
@@ -173,7 +173,7 @@
 	if err := c.get(time.Second, 0, minSilence/2); err == nil { // closes its own connection
 		t.Error("a late answer is in time")
 	}
-	if failed := c.getConcurrently(3, 50*time.Millisecond, 0, requestTimeout); failed > 0 || proxy.Accepted() > before {
+	if failed := c.getConcurrently(3, 50*time.Millisecond); failed > 0 || proxy.Accepted() > before {
 		t.Errorf("%d failed, %d new connections", failed, proxy.Accepted()-before)
 	}
 
@@ -184,7 +184,7 @@
 	}
 	proxy.SetMode(faultproxy.Forward)
 	before = proxy.Accepted()
-	if failed := c.getConcurrently(3, 50*time.Millisecond, 0, requestTimeout); failed > 0 || proxy.Accepted() > before {
+	if failed := c.getConcurrently(3, 50*time.Millisecond); failed > 0 || proxy.Accepted() > before {
 		t.Errorf("after an outage: %d failed, %d new connections", failed, proxy.Accepted()-before)
 	}
 }
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -11,6 +11,7 @@
 // Mode is how a proxy treats the bytes that it forwards.
 type Mode int32
 
+// Modes of a proxy.
 const (
 	Forward Mode = iota
 	Delay
--- a/internal/scheduler/silent_agent_test.go
+++ b/internal/scheduler/silent_agent_test.go
@@ -27,7 +27,7 @@
 				}
 				return relay.OrderResponse{Verdict: batch.VerdictAccepted}, nil
 			}),
-			relay.MethodSync: rpc.Method(func(_ context.Context, _ *rpc.Conn, r relay.SyncRequest) (relay.SyncResponse, error) {
+			relay.MethodSync: rpc.Method(func(context.Context, *rpc.Conn, relay.SyncRequest) (relay.SyncResponse, error) {
 				time.Sleep(maxReportWait / 4)
 				return relay.SyncResponse{}, nil
 			}),
--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -65,6 +65,7 @@
 	mu      sync.Mutex
 	checker *rulecheck.Checker
 	pending []observation
+	lapsed  int // runs whose lease has expired
 }
 
 // observation is an event of a process, or a result that a caller saw, to be reported to the checker.
@@ -144,6 +145,9 @@
 	case eventRunStarted:
 		c.RunStarted(name, task, e.Run, e.Payload, at)
 	case eventRunEnded:
+		if e.Outcome == batch.OutcomeLeaseExpired {
+			r.lapsed++ // with the mutex held, by deliver
+		}
 		c.RunEnded(name, e.Number, task, e.Run, e.Outcome, at)
 	case eventEndsAcknowledged:
 		c.EndsAcknowledged(name, e.Number)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -78,6 +78,13 @@
 				afterDuration(func() { p.workerProxy.SetMode(faultproxy.Forward) })
 			}
 		}},
+		{"silence the store connections of " + p.name, p.storeProxy.SilenceConnections},
+		{"silence the worker connections of " + w.agent.name, w.agent.workerProxy.SilenceConnections},
+		{"silence all connections to the " + [...]string{"workers", "store"}[oddMessage%2], func() {
+			r.silenceConnections(oddMessage%2 == 1)
+		}},
+		{w.name + " refuses starts", func() { r.postToWorker(w, pathRefuse, duration) }},
+		{w.name + " leaves", func() { r.postToWorker(w, pathLeave, duration) }},
 		{"store loses answers", func() {
 			r.setStoreFaults(memstore.Faults{LoseAnswers: 0.3})
 			afterDuration(func() { r.setStoreFaults(memstore.Faults{}) })
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -55,15 +55,14 @@
 
 // newJob returns a job of one of three shapes, drawn at random.
 func (r *run) newJob(id int) *soakJob {
-	name := fmt.Sprintf("%016x", id)
+	name := jobName(id)
 	need := batch.Resources{Accelerators: 1}
 	if r.rng.Float64() < crashShare {
 		return &soakJob{id: id, body: standin.CrashingJob(), spec: batch.Job{ID: name, Payload: standin.CrashingPayload,
 			Steps: []batch.Step{{Count: 2, Need: need}}}}
 	}
 	if r.rng.Float64() < longShare {
-		return &soakJob{id: id, longRunning: true, cancelNow: make(chan struct{}), body: standin.FourTaskJob(longTaskMS), spec: batch.Job{ID: name,
-			Payload: fmt.Sprint(longTaskMS), Steps: []batch.Step{{Count: 4, Need: need}}}}
+		return newLongJob(id)
 	}
 	if r.rng.IntN(2) == 0 {
 		ms := 200 + r.rng.IntN(maxTaskMS)
@@ -74,6 +73,15 @@
 		Steps: []batch.Step{{Count: 3, Need: need}, {Count: 2, Gang: true, After: []int{0}, Need: need}}}}
 }
 
+func jobName(id int) string { return fmt.Sprintf("%016x", id) }
+
+// newLongJob returns a job whose tasks outlast the run.
+func newLongJob(id int) *soakJob {
+	return &soakJob{id: id, longRunning: true, cancelNow: make(chan struct{}), body: standin.FourTaskJob(longTaskMS),
+		spec: batch.Job{ID: jobName(id), Payload: fmt.Sprint(longTaskMS),
+			Steps: []batch.Step{{Count: 4, Need: batch.Resources{Accelerators: 1}}}}}
+}
+
 // startLoad starts callers that submit jobs at random times while faults are injected, and cancel some of them.
 func (r *run) startLoad() {
 	for n := range int(r.options.FaultDuration.Seconds() * r.options.SubmissionRate) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,6 +107,7 @@
 	r.callers.Wait()
 	r.awaitFinalStates()
 	r.checkCancelledRuns()
+	r.checkDisturbedChannels()
 	return r.recorder.violations(), ctx.Err()
 }
 
@@ -221,6 +222,12 @@
 	return p, nil
 }
 
+// postToWorker asks the stand-in of a worker for a disturbance.
+func (r *run) postToWorker(w *process, path string, d time.Duration) {
+	url := fmt.Sprintf("http://%s%s?ms=%d", w.agent.settings.WorkerAddress(), path, d.Milliseconds())
+	r.postControl(url, nil)
+}
+
 // postToStore posts a control request to the store stand-in, which sets its faults or compacts its history.
 func (r *run) postToStore(path string, body any) {
 	data, err := json.Marshal(body)
@@ -228,9 +235,14 @@
 		r.logf("encoding a control request to the store failed: %v", err)
 		return
 	}
+	r.postControl("http://"+r.storeAddress+path, data)
+}
+
+// postControl posts a control request to a stand-in.
+func (r *run) postControl(url string, data []byte) {
 	ctx, cancel := context.WithTimeout(r.ctx, time.Second)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.storeAddress+path, bytes.NewReader(data))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
 	if err == nil {
 		var res *http.Response
 		if res, err = http.DefaultClient.Do(q); err == nil {
@@ -238,8 +250,8 @@
 		}
 	}
 	if err != nil && r.ctx.Err() == nil {
-		// Expected while the store is suspended.
-		r.logf("control request to the store failed: %s %s: %v", path, data, err)
+		// Expected while the stand-in is suspended or down.
+		r.logf("control request failed: %s %s: %v", url, data, err)
 	}
 }
 
--- a/internal/soak/standins.go
+++ b/internal/soak/standins.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"strconv"
 	"time"
 
 	"masticcart.example/masticcart/internal/batch"
@@ -40,6 +41,9 @@
 
 	pathFaults  = "/faults"
 	pathCompact = "/compact"
+	// Paths of workers.
+	pathRefuse = "/refuse"
+	pathLeave  = "/leave"
 )
 
 // RunWorker runs one worker until ctx ends or a task crashes it, and writes its events to standard output. It occupies
@@ -59,7 +63,29 @@
 	go w.Run(ctx)
 	go resizeWorker(ctx, w)
 	go w.SendHeartbeats(ctx, control, heartbeatInterval)
-	return listenAndServe(ctx, listen, w.Handler())
+	server := &http.Server{ReadHeaderTimeout: time.Minute}
+	m := http.NewServeMux()
+	m.Handle("/", w.Handler())
+	m.HandleFunc("POST "+pathRefuse, func(_ http.ResponseWriter, q *http.Request) { w.Refuse(durationParameter(q)) })
+	m.HandleFunc("POST "+pathLeave, func(_ http.ResponseWriter, q *http.Request) {
+		w.Leave()
+		server.SetKeepAlivesEnabled(false) // as servers do that are about to end
+		time.AfterFunc(durationParameter(q), func() {
+			w.SendDeregistration(ctx, control)
+			os.Exit(0)
+		})
+	})
+	server.Handler = m
+	return listenAndServe(ctx, listen, server)
+}
+
+// durationParameter returns how long a disturbance that a request asks for lasts.
+func durationParameter(q *http.Request) time.Duration {
+	ms, err := strconv.Atoi(q.URL.Query().Get("ms"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
 }
 
 // resizeWorker lets a worker shrink and grow until ctx ends.
@@ -109,7 +135,7 @@
 		mem.SetFaults(f)
 	})
 	m.HandleFunc("POST "+pathCompact, func(http.ResponseWriter, *http.Request) { mem.Compact() })
-	return listenAndServe(ctx, listen, m)
+	return listenAndServe(ctx, listen, &http.Server{Handler: m, ReadHeaderTimeout: time.Minute})
 }
 
 // RunOperator writes configurations to the store until ctx ends. The first one contains temporaryKey and the second
@@ -144,13 +170,12 @@
 	return nil
 }
 
-// listenAndServe serves HTTP until ctx ends, which is not an error.
-func listenAndServe(ctx context.Context, address string, h http.Handler) error {
+// listenAndServe runs an HTTP server until ctx ends, which is not an error.
+func listenAndServe(ctx context.Context, address string, server *http.Server) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	if err := server.Serve(l); ctx.Err() == nil {
 		return err
