--- a/internal/connhealth/peer.go
+++ b/internal/connhealth/peer.go
@@ -1,6 +1,6 @@
 // Package connhealth closes the connections to a peer that have gone silent.
 //
-// A connection may stop to carry bytes without a reset while new connections to the same peer work. TCP keep-alive does not
+// A connection may stop carrying bytes without a reset while new connections to the same peer work. TCP keep-alive does not
 // show that if something in between answers it, so a request without an answer is the only sign. It speaks against all
 // connections of the peer that have been silent since, in all pools of the process: each of them would otherwise cost another
 // request its time. A peer that is slow answers some of its connections, which are kept, and a peer that is away does not
